--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,209 @@
+// Package wire turns the lines of the simulator's JSON wire into the events of
+// package indigospool, and its actions into replies. All wire words stay here.
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+
+	spool "indigospool"
+)
+
+// Batch is one line of input.
+type Batch struct {
+	Clock  *float64 `json:"clock"`
+	Groups []Group  `json:"groups"`
+}
+
+// Group is what one instance hears in a batch.
+type Group struct {
+	Inst  *int                         `json:"i"`
+	Inbox []map[string]json.RawMessage `json:"inbox"`
+}
+
+// Born starts an instance.
+type Born struct {
+	Seed     uint64
+	Settings spool.Settings
+}
+
+// Destroy ends an instance.
+type Destroy struct{}
+
+// ParseBatch reads one line.
+func ParseBatch(line []byte) (Batch, error) {
+	var b Batch
+	if err := json.Unmarshal(line, &b); err != nil {
+		return b, err
+	}
+	if b.Clock == nil {
+		return b, errors.New("no clock")
+	}
+	for _, g := range b.Groups {
+		if g.Inst == nil {
+			return b, errors.New("a group names no instance")
+		}
+	}
+	return b, nil
+}
+
+type entry struct {
+	Cache   string  `json:"cache"`
+	Area    string  `json:"area"`
+	Shape   string  `json:"shape"`
+	Cell    int     `json:"cell"`
+	Phase   string  `json:"phase"`
+	Size    float64 `json:"size"`
+	ReadyAt float64 `json:"ready_at"`
+}
+
+// fields holds every field that an event other than BORN can have.
+type fields struct {
+	ID         string    `json:"msg_id"`
+	Class      string    `json:"tier_class"`
+	Tenant     any       `json:"user_group"` // a name, or 0 for none
+	Item       any       `json:"item"`       // a name, or 0 for none
+	GiveUpAt   float64   `json:"give_up_at"`
+	KB         float64   `json:"kb"`
+	PurgeGroup float64   `json:"purge_group"`
+	Piece      float64   `json:"piece"`
+	Retry      bool      `json:"retry"`
+	Mutates    bool      `json:"mutates"`
+	How        string    `json:"how"`
+	Rows       []entry   `json:"rows_in"`
+	Cache      string    `json:"cache"`
+	Attempt    int       `json:"attempt"`
+	Reason     string    `json:"reason"`
+	Spent      float64   `json:"spent"`
+	Last       bool      `json:"last"`
+	Note       int       `json:"note"`
+	Waited     float64   `json:"waited"`
+	Metrics    []float64 `json:"metrics"`
+	FamilyID   float64   `json:"family_id"`
+	AgeSpan    float64   `json:"age_span"`
+	Ref        int64     `json:"ref"`
+	Src        int       `json:"src"`
+	Contents   string    `json:"contents"`
+}
+
+var results = map[string]spool.Result{
+	"ok": spool.OK, "error": spool.Errored, "full": spool.Full, "timeout": spool.TimedOut,
+	"connect_failed": spool.ConnectFailed, "reset": spool.Reset, "cancelled": spool.Cancelled,
+	"moot": spool.Moot, "miss": spool.Miss,
+}
+
+var states = map[string]spool.State{
+	"SERVING": spool.Serving, "DRAINING": spool.Draining, "DELETED": spool.Removed,
+}
+
+var scopes = map[string]spool.Scope{
+	"": spool.Nowhere, "off": spool.Nowhere, "cell": spool.Cell, "zone": spool.Location,
+	"location": spool.Location, "all": spool.Everywhere, "any": spool.Everywhere,
+}
+
+var effects = map[string]spool.Effect{
+	"": spool.Free, "free": spool.Free, "guarded": spool.Guarded, "single_shot": spool.SingleShot,
+}
+
+var details = map[string]spool.Detail{
+	"": spool.DetailOff, "off": spool.DetailOff, "hit": spool.DetailHit, "all": spool.DetailAll,
+}
+
+// pick looks a word up and says what it was for when it is unknown.
+func pick[T any](table map[string]T, word, what string) (T, error) {
+	v, ok := table[word]
+	if !ok {
+		return v, fmt.Errorf("unknown %s %q", what, word)
+	}
+	return v, nil
+}
+
+// name reads a value that is a word, or a number where there is none.
+func name(v any) string {
+	switch v := v.(type) {
+	case string:
+		return v
+	case float64:
+		if v != 0 {
+			return strconv.FormatFloat(v, 'f', -1, 64)
+		}
+	}
+	return ""
+}
+
+// ParseEvent reads one entry of an inbox: a Born, a Destroy, or an event of
+// the library.
+func ParseEvent(m map[string]json.RawMessage) (any, error) {
+	if len(m) != 1 {
+		return nil, fmt.Errorf("an event has %d names, not one", len(m))
+	}
+	for word, raw := range m {
+		ev, err := parse(word, raw)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", word, err)
+		}
+		return ev, nil
+	}
+	return nil, nil
+}
+
+func parse(word string, raw json.RawMessage) (any, error) {
+	if word == "BORN" {
+		return parseBorn(raw)
+	}
+	var f fields
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return nil, err
+	}
+	var err error
+	switch word {
+	case "DESTROY":
+		return Destroy{}, nil
+	case "ROSTER_CHANGE":
+		ev := spool.Members{Full: f.How == "total" || f.How == "warm_copy", Lost: f.How == "lost"}
+		if !ev.Full && !ev.Lost && f.How != "incr" {
+			return nil, fmt.Errorf("unknown kind %q", f.How)
+		}
+		for _, e := range f.Rows {
+			r := spool.Member{ID: e.Cache, Zone: e.Area, Kind: e.Shape, Cell: e.Cell, Size: e.Size, ReadyAt: e.ReadyAt}
+			if e.Cache == "" {
+				return nil, errors.New("a row names no cache")
+			}
+			if r.State, err = pick(states, e.Phase, "phase"); err != nil {
+				return nil, err
+			}
+			ev.Rows = append(ev.Rows, r)
+		}
+		return ev, nil
+	case "REMINDER":
+		return spool.Timer{Token: f.Ref}, nil
+	case "PURGED":
+		return spool.Purge{Object: name(f.Item), Group: int(f.FamilyID), Age: f.AgeSpan}, nil
+	case "MESSAGE":
+		return spool.Message{From: f.Src, Text: f.Contents}, nil
+	case "CHECKED":
+		return spool.Probed{Cache: f.Cache, OK: f.Reason == "ok", Load: f.Metrics}, nil
+	case "KNOCK", "SETTLED", "STREAMING", "TIMED_OUT_CLIENT":
+		if f.ID == "" {
+			return nil, errors.New("no request id")
+		}
+	default:
+		return nil, errors.New("unknown event")
+	}
+	switch word {
+	case "KNOCK":
+		return spool.Request{ID: f.ID, Class: f.Class, Tenant: name(f.Tenant), Object: name(f.Item),
+			Deadline: f.GiveUpAt, KB: f.KB, Group: int(f.PurgeGroup), Part: int(f.Piece),
+			Retry: f.Retry, Write: f.Mutates}, nil
+	case "SETTLED":
+		ev := spool.Outcome{ID: f.ID, Cache: f.Cache, Attempt: f.Attempt, Took: f.Spent, Last: f.Last,
+			Note: spool.Note(f.Note), Waited: f.Waited, Load: f.Metrics}
+		ev.Result, err = pick(results, f.Reason, "reason")
+		return ev, err
+	case "STREAMING":
+		return spool.Started{ID: f.ID, Cache: f.Cache, Attempt: f.Attempt}, nil
+	}
+	return spool.Gone{ID: f.ID}, nil
+}
--- /dev/null
+++ b/router_test.go
@@ -0,0 +1,497 @@
+package indigospool
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+)
+
+// rig drives a router by hand.
+type rig struct {
+	t   *testing.T
+	r   *Router
+	now Millis
+	n   int
+}
+
+func testSettings() Settings {
+	return Settings{
+		Me: 0, Routers: 2, Zone: "z1", Zones: []string{"hub", "z1"}, RoutersByZone: []int{0, 2},
+		ParentKind: "parent", OriginKind: "origin", Tick: 2, AnswerSlack: 8, DrainGrace: 500,
+		ColdFrom: 0.2, ColdTime: 18000, FallFactor: 3, FallTime: 1000,
+		ParentColdFrom: 0.1, ParentColdTime: 20000, ParentFall: 2,
+		PurgeTakes: 6000, PurgeSlack: 300, Direct: true, Detail: DetailAll, FlowKBPerMs: 5,
+		MaxAttempts: 6, MaxRetryAfter: 1000, Cancels: true,
+		Classes: []Class{
+			{Name: "video", Aim: 400, AimStretch: 2, Deadline: 6000, Worth: 2, InParts: true},
+			{Name: "page", Aim: 250, AimStretch: 2, Deadline: 3000, Worth: 1, Fresh: 8000, Grace: 8000},
+			{Name: "save", Aim: 700, Deadline: 3000, Worth: 3, Effect: Guarded, Group: Everywhere, Window: 2000,
+				Write: true},
+			{Name: "once", Aim: 700, Deadline: 3000, Worth: 3, Effect: SingleShot},
+			{Name: "keyed", Aim: 700, Deadline: 3000, Worth: 3, Effect: Guarded, Group: Cell, Window: 2000},
+		},
+	}
+}
+
+func row(id, zone, kind string) Member { return Member{ID: id, Zone: zone, Kind: kind} }
+
+func baseRows() []Member {
+	return []Member{row("e1", "z1", "box"), row("e2", "z1", "box"), row("e3", "z1", "box"), row("f1", "z2", "box"),
+		row("p1", "hub", "parent"), row("p2", "hub", "parent"), row("o1", "hub", "origin")}
+}
+
+func newRig(t *testing.T, s Settings, rows ...Member) *rig {
+	t.Helper()
+	r, err := New(s, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &rig{t: t, r: r, now: 5000}
+	if rows == nil {
+		rows = baseRows()
+	}
+	g.do(Members{Full: true, Rows: rows})
+	return g
+}
+
+func (g *rig) do(ev Event) []Action { return g.r.Handle(g.now, ev, nil) }
+
+// wait lets time pass, with the beats that the router asked for.
+func (g *rig) wait(d Millis) (acts []Action) {
+	for end := g.now + d; g.now < end; {
+		g.now = min(g.now+beatSpan, end)
+		acts = append(acts, g.do(Timer{})...)
+	}
+	return acts
+}
+
+// ask makes a request and returns its id and what the router did.
+func (g *rig) ask(class, object string, part int) (string, []Action) {
+	g.n++
+	id := fmt.Sprint("q", g.n)
+	dead := 3000.0
+	if c := g.r.classes[class]; c != nil {
+		dead = c.Deadline
+	}
+	return id, g.do(Request{ID: id, Class: class, Object: object, Part: part, KB: 500, Deadline: g.now + dead})
+}
+
+func sends(acts []Action) (out []Send) {
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func finals(acts []Action) (n int, fail bool) {
+	for _, a := range acts {
+		switch a.(type) {
+		case Refuse:
+			n++
+		case Fail:
+			n, fail = n+1, true
+		}
+	}
+	return n, fail
+}
+
+func (g *rig) one(acts []Action) Send {
+	g.t.Helper()
+	s := sends(acts)
+	if len(s) != 1 {
+		g.t.Fatalf("%d sends, want 1: %v", len(s), acts)
+	}
+	return s[0]
+}
+
+func TestSplitPoints(t *testing.T) {
+	for _, c := range []struct {
+		cost []float64
+		n    int
+		want []int
+	}{
+		{[]float64{1, 1, 1, 1}, 2, []int{2}},
+		{[]float64{4, 1, 1, 1, 1}, 2, []int{1}},
+		{[]float64{1, 1, 1, 1, 1, 1}, 3, []int{2, 4}},
+		{[]float64{5}, 1, []int{}},
+		{[]float64{1, 1}, 4, []int{1, 1, 2}},
+	} {
+		if got := splitPoints(c.cost, c.n); !slices.Equal(got, c.want) {
+			t.Errorf("splitPoints(%v, %d) = %v, want %v", c.cost, c.n, got, c.want)
+		}
+	}
+	rng := rand.New(rand.NewSource(1))
+	for range 500 {
+		cost, sum, most := make([]float64, 1+rng.Intn(20)), 0.0, 0.0
+		for x := range cost {
+			cost[x] = rng.Float64()
+			sum, most = sum+cost[x], max(most, cost[x])
+		}
+		n := 1 + rng.Intn(6)
+		points := append(splitPoints(cost, n), len(cost))
+		from := 0
+		for _, to := range points {
+			if to < from {
+				t.Fatalf("points %v go back", points)
+			}
+			share := 0.0
+			for _, c := range cost[from:to] {
+				share += c
+			}
+			if d := share - sum/float64(n); d > most+1e-9 || d < -most-1e-9 {
+				t.Fatalf("cost %v in %d: share %v off by more than an index", cost, n, share)
+			}
+			from = to
+		}
+	}
+}
+
+// TestRanges checks that parts of all objects go by contiguous ranges once a
+// window has closed, by a hash before, and that an unchanged load moves none.
+func TestRanges(t *testing.T) {
+	g := newRig(t, testSettings())
+	serve := func(object string, part int) string {
+		id, acts := g.ask("video", object, part)
+		s := g.one(acts)
+		g.do(Outcome{ID: id, Cache: s.Cache, Result: OK, Took: 100, Last: true, Note: NoteHit})
+		return s.Cache
+	}
+	first := map[string]bool{}
+	for x := range 12 {
+		first[serve("a", x)] = true
+	}
+	if len(first) < 2 {
+		t.Error("before a window closes, parts should be hashed over caches")
+	}
+	for i := range 400 {
+		serve(fmt.Sprint("o", i/12), i%12)
+		g.wait(25)
+	}
+	before := slices.Clone(g.r.splits)
+	for i := range 600 {
+		serve(fmt.Sprint("o", i/12), i%12)
+		g.wait(25)
+	}
+	if !slices.Equal(before, g.r.splits) {
+		t.Errorf("an unchanged load moved %v to %v", before, g.r.splits)
+	}
+	at := 0
+	for x := range 40 {
+		c := serve("b", x)
+		i := slices.IndexFunc(g.r.byRole[edge], func(m *member) bool { return m.ID == c })
+		if i < at {
+			t.Fatalf("part %d goes back to %s", x, c)
+		}
+		at = i
+		if other := serve("c", x); other != c {
+			t.Fatalf("part %d of two objects goes to %s and %s", x, c, other)
+		}
+	}
+	if at != 2 {
+		t.Errorf("the last range is of cache %d", at)
+	}
+	g.do(Members{Rows: []Member{{ID: "e2", Zone: "z1", Kind: "box", State: Removed}}})
+	if len(g.r.splits) != 1 {
+		t.Errorf("after a loss: splits %v", g.r.splits)
+	}
+}
+
+func TestSourceIsByObject(t *testing.T) {
+	a, b := newRig(t, testSettings()), newRig(t, testSettings())
+	b.r.rng = 99
+	used := map[string]bool{}
+	for i := range 20 {
+		_, x := a.ask("page", fmt.Sprint("o", i), 0)
+		_, y := b.ask("page", fmt.Sprint("o", i), 0)
+		if a.one(x).Source != b.one(y).Source || a.one(x).Cache != b.one(y).Cache {
+			t.Fatal("two routers differ")
+		}
+		used[a.one(x).Source] = true
+	}
+	if !used["p1"] || !used["p2"] || used["o1"] {
+		t.Errorf("sources %v", used)
+	}
+	g := newRig(t, testSettings(), row("e1", "z1", "box"), row("o1", "hub", "origin"))
+	if _, acts := g.ask("page", "x", 0); g.one(acts).Source != "o1" {
+		t.Error("with no parents, fills should come from the origin")
+	}
+}
+
+// TestOneFinalAnswer covers the paths on which an answer could be lost or
+// given twice.
+func TestOneFinalAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rows []Member
+		run  func(g *rig, id string, acts []Action) []Action
+		want int
+	}{
+		{"no members", []Member{}, func(g *rig, _ string, acts []Action) []Action { return append(acts, g.wait(2000)...) }, 1},
+		{"silence", nil, func(g *rig, id string, acts []Action) []Action {
+			acts = append(acts, g.wait(2996)...)
+			acts = append(acts, g.do(Timer{Token: 1})...)
+			acts = append(acts, g.do(Outcome{ID: id, Result: TimedOut, Took: 3000})...)
+			return append(acts, g.do(Timer{Token: 1})...)
+		}, 1},
+		{"attempts used up", nil, func(g *rig, id string, acts []Action) []Action {
+			for i := range 20 {
+				acts = append(acts, g.do(Outcome{ID: id, Attempt: i, Result: Errored, Took: 1})...)
+			}
+			return acts
+		}, 1},
+		{"client gone, outcome in the same batch", nil, func(g *rig, id string, acts []Action) []Action {
+			acts = append(acts, g.do(Gone{ID: id})...)
+			return append(acts, g.do(Outcome{ID: id, Result: Errored, Last: true})...)
+		}, 0},
+		{"served", nil, func(g *rig, id string, acts []Action) []Action {
+			acts = append(acts, g.do(Outcome{ID: id, Result: OK, Last: true})...)
+			acts = append(acts, g.do(Gone{ID: id})...)
+			return append(acts, g.do(Timer{Token: 1})...)
+		}, 0},
+	} {
+		g := newRig(t, testSettings(), c.rows...)
+		if c.rows != nil {
+			g = &rig{t: t, r: g.r, now: g.now}
+			g.do(Members{Full: true})
+		}
+		id, acts := g.ask("page", "x", 0)
+		acts = c.run(g, id, acts)
+		if n, _ := finals(acts); n != c.want {
+			t.Errorf("%s: %d final answers, want %d: %v", c.name, n, c.want, acts)
+		}
+		ended := false
+		for _, a := range acts {
+			if _, ok := a.(Send); ok && ended {
+				t.Errorf("%s: a send after the end", c.name)
+			}
+			if _, ok := a.(Refuse); ok {
+				ended = true
+			}
+		}
+		if len(g.r.open) != 0 && c.want == 0 {
+			t.Errorf("%s: the request is still held", c.name)
+		}
+	}
+	g := newRig(t, testSettings())
+	if n, _ := finals(g.do(Request{ID: "u", Class: "unheard", Deadline: 9000})); n != 1 {
+		t.Error("an unknown class gets no answer")
+	}
+}
+
+func TestEffects(t *testing.T) {
+	cells := baseRows()
+	cells[0].Cell, cells[1].Cell, cells[2].Cell = 1, 2, 2
+	for _, c := range []struct {
+		class  string
+		result Result
+		after  Millis
+		sends  int
+		fail   bool // the answer must promise nothing
+	}{
+		{"once", Reset, 1, 0, true},
+		{"once", TimedOut, 1, 0, true},
+		{"once", ConnectFailed, 1, 1, false},
+		{"once", Full, 1, 1, false},
+		{"save", Reset, 1, 1, false},
+		{"save", Reset, 2100, 0, false},
+		{"keyed", Reset, 2100, 0, true},
+		{"page", Reset, 1, 1, false},
+	} {
+		g := newRig(t, testSettings(), cells...)
+		id, acts := g.ask(c.class, "x", 0)
+		first := g.one(acts)
+		g.now += c.after
+		acts = g.do(Outcome{ID: id, Cache: first.Cache, Result: c.result, Took: c.after})
+		if got := len(sends(acts)); got != c.sends {
+			t.Errorf("%s after %v: %d sends, want %d", c.class, c.result, got, c.sends)
+		}
+		if n, fail := finals(acts); c.sends == 0 && (n != 1 || fail != c.fail) {
+			t.Errorf("%s after %v: finals %d fail %v", c.class, c.result, n, fail)
+		}
+	}
+	cell := map[string]int{"e1": 1, "e2": 2, "e3": 2}
+	for i := range 20 { // a keyed request that may have run stays in its cell
+		g := newRig(t, testSettings(), cells...)
+		id, acts := g.ask("keyed", fmt.Sprint("x", i), 0)
+		a := g.one(acts)
+		for _, b := range sends(g.do(Outcome{ID: id, Cache: a.Cache, Result: Reset, Took: 1})) {
+			if cell[b.Cache] != cell[a.Cache] || cell[b.Cache] == 0 {
+				t.Fatalf("from %s a keyed request went on to %s", a.Cache, b.Cache)
+			}
+		}
+	}
+}
+
+func TestDrains(t *testing.T) {
+	for _, state := range []State{Draining, Removed} {
+		g := newRig(t, testSettings())
+		for _, r := range []Member{{ID: "e2", Zone: "z1", Kind: "box"}, {ID: "p1", Zone: "hub", Kind: "parent"}} {
+			r.State = state
+			g.do(Members{Rows: []Member{r}})
+		}
+		for i := range 40 {
+			_, acts := g.ask("page", fmt.Sprint("o", i), 0)
+			if s := g.one(acts); s.Cache == "e2" || s.Source == "p1" {
+				t.Fatalf("sent to %s from %s", s.Cache, s.Source)
+			}
+		}
+	}
+	g := newRig(t, testSettings())
+	g.do(Members{Full: true, Rows: []Member{row("e1", "z1", "box"), row("o1", "hub", "origin")}})
+	if _, acts := g.ask("page", "x", 0); g.one(acts).Cache != "e1" || g.one(acts).Source != "o1" {
+		t.Error("a member missing from a full list is still used")
+	}
+}
+
+func TestPurges(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.do(Purge{Object: "x", Group: 3, Age: 100})
+	g.now += 50
+	id, acts := g.ask("video", "x", 0)
+	if s := g.one(acts); s.Age <= 0 || s.Age >= 150 {
+		t.Errorf("age %v, want under 150", s.Age)
+	}
+	g.now += 10
+	acts = g.do(Outcome{ID: id, Result: Errored, Took: 10})
+	if s := g.one(acts); s.Age <= 0 || s.Age >= 160 {
+		t.Errorf("retry: age %v, want under 160", s.Age)
+	}
+	g.do(Purge{Group: 0, Age: 0})
+	if _, acts = g.ask("page", "y", 0); g.one(acts).Age <= 0 || g.one(acts).Age > 1 {
+		t.Errorf("just told of a group's purge: age %v", g.one(acts).Age)
+	}
+	g.wait(7000)
+	if _, acts = g.ask("page", "y", 0); g.one(acts).Age != 8000 {
+		t.Errorf("after the purge is through: age %v", g.one(acts).Age)
+	}
+}
+
+// TestColdBudget holds a just started member to its share of what it can bear.
+func TestColdBudget(t *testing.T) {
+	for _, id := range []string{"e2", "p2"} {
+		g := newRig(t, testSettings())
+		ask := func(n int) (work float64) {
+			for i := range n {
+				q, acts := g.ask("page", fmt.Sprint("o", g.n, i), 0)
+				s := g.one(acts)
+				if s.Cache == id || s.Source == id {
+					work += 100
+				}
+				g.do(Outcome{ID: q, Cache: s.Cache, Result: OK, Took: 100, Last: true, Note: NoteFilled})
+				g.wait(20)
+			}
+			return work
+		}
+		warm := ask(500) / 10000
+		m := g.r.members[id].Member
+		m.ReadyAt = g.now
+		g.do(Members{Rows: []Member{m}})
+		if cold := ask(100) / 2000; cold > warm*0.5 || cold == 0 {
+			t.Errorf("%s: %v a ms cold, %v warm", id, cold, warm)
+		}
+	}
+}
+
+// TestSuspects: whatever the fault looks like, a member that does not serve
+// loses the ordinary traffic, gets single trials, and earns it back.
+func TestSuspects(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply *Outcome // nil: silence
+	}{
+		{"refuses connections", &Outcome{Result: ConnectFailed, Took: 1}},
+		{"fails fast", &Outcome{Result: Errored, Took: 1}},
+		{"hangs", nil},
+	} {
+		g := newRig(t, testSettings())
+		var held []string
+		phase := func(n int, broken bool) (hits int) {
+			for i := range n {
+				id, acts := g.ask("page", fmt.Sprint("o", i%30), 0)
+				for k := 0; len(sends(acts)) > 0; k++ {
+					s := sends(acts)[0]
+					out := Outcome{ID: id, Attempt: k, Cache: s.Cache, Result: OK, Took: 100, Last: true, Note: NoteHit}
+					if s.Cache == "e2" {
+						hits++
+						if broken && c.reply == nil {
+							held = append(held, id)
+							break
+						}
+						if broken {
+							out = *c.reply
+							out.ID, out.Attempt, out.Cache = id, k, s.Cache
+						}
+					}
+					acts = g.do(out)
+				}
+				g.wait(25)
+			}
+			return hits
+		}
+		phase(100, false)
+		if early, later := phase(60, true), phase(120, true); early == 0 || later > 10 {
+			t.Errorf("%s: %d then %d attempts at the broken cache", c.name, early, later)
+		}
+		for _, id := range held {
+			g.do(Outcome{ID: id, Cache: "e2", Result: TimedOut, Last: true})
+		}
+		phase(200, false)
+		phase(400, false)
+		if back := phase(100, false); back < 20 {
+			t.Errorf("%s: only %d attempts after the repair", c.name, back)
+		}
+	}
+}
+
+// TestFailedFillTriesAnotherSource: the source is blamed, not the cache.
+func TestFailedFillTriesAnotherSource(t *testing.T) {
+	g := newRig(t, testSettings())
+	id, acts := g.ask("page", "x", 0)
+	a := g.one(acts)
+	acts = g.do(Outcome{ID: id, Cache: a.Cache, Result: Full, Took: 900, Note: NoteSourceUnreached})
+	if b := g.one(acts); b.Source == a.Source {
+		t.Errorf("filled from %s again", b.Source)
+	}
+	if g.r.members[a.Cache].faults > 0 || g.r.members[a.Source].faults == 0 {
+		t.Error("the wrong part was blamed")
+	}
+}
+
+func TestSettingsThatContradict(t *testing.T) {
+	for _, change := range []func(*Settings){
+		func(s *Settings) { s.Classes = nil },
+		func(s *Settings) { s.Classes = append(s.Classes, s.Classes[0]) },
+		func(s *Settings) { s.ColdFrom = 2 },
+		func(s *Settings) { s.ParentKind = s.OriginKind },
+		func(s *Settings) { s.PurgeTakes = -1 },
+	} {
+		s := testSettings()
+		change(&s)
+		if _, err := New(s, 1); err == nil {
+			t.Errorf("no error for %+v", s)
+		}
+	}
+}
+
+func TestOnRequestDiscovery(t *testing.T) {
+	s := testSettings()
+	s.OnRequest, s.AskWithin = true, 10000
+	watches := func(acts []Action) (n int) {
+		for _, a := range acts {
+			if _, ok := a.(Watch); ok {
+				n++
+			}
+		}
+		return n
+	}
+	r, _ := New(s, 1)
+	if watches(r.Handle(0, Members{Full: true, Rows: baseRows()}, nil)) != 1 {
+		t.Error("the first list is not followed by a subscription")
+	}
+	if watches(r.Handle(1, Members{Lost: true}, nil)) != 1 || len(r.byRole[edge]) != 3 {
+		t.Error("a lost subscription is not renewed, or the list was lost with it")
+	}
+}
