--- a/router.go
+++ b/router.go
@@ -23,6 +23,7 @@
 	maxIndex     = 2048         // part indices told apart; later ones share the last
 	maxObjects   = 20000        // objects remembered in each of two generations
 	objectSpan   = Millis(60000)
+	keepRank     = 1           // one rank for all: a higher one would keep new copies out for long
 	anyAge       = Millis(1e9) // "any age": 0 would mean the default
 	leastAge     = Millis(0.05)
 	beatSpan     = Millis(25)  // how often outstanding attempts are looked over
@@ -497,7 +498,7 @@
 		r.retries--
 	}
 	a := attempt{at: at, src: src, sent: r.now, expect: r.expect(q), open: true, trial: trial}
-	send := Send{ID: q.ID, Cache: at.ID, Source: src.ID, Keep: r.rank(q), Age: r.age(q, src.suspect || src == at)}
+	send := Send{ID: q.ID, Cache: at.ID, Source: src.ID, Keep: keepRank, Age: r.age(q, src.suspect || src == at)}
 	send.Renew = q.class.Fresh > 0 && at.role == edge && src != at
 	send.Join = r.s.Joins
 	if q.writes() {
@@ -531,14 +532,6 @@
 	return q.class.took
 }
 
-// rank keeps what was asked for before above what may be asked for once only.
-func (r *Router) rank(q *request) int {
-	if o := r.objects[0][q.Object]; o != nil && (o.asked > 1 && !q.class.InParts || o.first > 1) {
-		return 2
-	}
-	return 1
-}
-
 // age is the oldest copy that will do: under the time since a purge until all
 // caches have dropped older copies; else the fresh time, with the grace where
 // no source is to be had. It is never 0, which would mean the default.
