--- a/router.go
+++ b/router.go
@@ -31,6 +31,7 @@
 	lateStretch  = 1.5
 	quietEdge    = Millis(450) // overdue and no sign of life for so long: silent (pauses are shorter)
 	quietSource  = Millis(900) // the same for a source, which is heard of less often
+	quietGaps    = 4           // and for this many usual gaps between signs of life
 	lateAlone    = Millis(1200)
 	faultGain    = 0.2 // weight of one outcome in the share of faults
 	faultLimit   = 0.4 // share of faults that makes a suspect
@@ -42,7 +43,7 @@
 	retryBurst   = 30.0
 	coldBurst    = 0.5  // of the fall time's budget may be spent at once
 	coldSizeUse  = 0.35 // load assumed of a stated capacity
-	slowRatio    = 2.0  // this much slower than its peers, and than its own sending time, sheds load
+	slowRatio    = 3.0  // this much slower than its peers, and than its own sending time, sheds load
 	refuseAdvice = Millis(300)
 )
 
@@ -63,6 +64,7 @@
 	hash    uint64
 	gone    bool    // draining, removed or no longer listed
 	good    Millis  // last sign that it makes progress
+	gap     Millis  // usual time between such signs
 	faults  float64 // recent share of faults
 	judged  int
 	stretch float64 // recent time over expected time of what it held
@@ -758,11 +760,11 @@
 	fill := a.src != a.at
 	switch ev.Result {
 	case OK:
-		r.bless(a.at, a, ev.Took/(a.expect+30))
-		if fill && filled {
-			r.bless(a.src, a, 1)
+		if pace := ev.Took / (a.expect + 30); fill && filled {
+			r.bless(a.at, a, 0) // a fill's pace is not the cache's
+			r.bless(a.src, a, pace)
 			a.src.work += q.work
-		} else if fill {
+		} else if r.bless(a.at, a, pace); fill {
 			a.src.tokens += a.charged // a hit: no fill came to it
 		}
 		if !filled || a.at == a.src {
@@ -780,7 +782,7 @@
 			a.at.good = r.now
 			r.blame(a.src, 1)
 		case ev.Note != NoteSourceLacks:
-			r.blame(a.at, 0.5)
+			r.blame(a.at, 0.25)
 		}
 	case Errored:
 		if ev.Note == NoteOriginFailed {
@@ -792,10 +794,10 @@
 	case ConnectFailed, Reset:
 		r.blame(a.at, 2)
 	case TimedOut:
-		if fill && a.at.good > a.sent {
-			r.blame(a.src, 1)
-		} else if !fill || a.at.good <= a.sent {
+		if a.at.good <= a.sent { // with progress since, it was crowded out: nobody's fault
 			r.blame(a.at, 1)
+		} else if fill && a.src.good <= a.sent {
+			r.blame(a.src, 0.5)
 		}
 	}
 }
@@ -803,10 +805,13 @@
 // bless books a sign of health. A suspect returns after good trials, with part
 // of its traffic first, so that one that is cold or half well is not flooded.
 func (r *Router) bless(m *member, a *attempt, stretch float64) {
+	m.gap += (min(r.now-m.good, 2000) - m.gap) * 0.1
 	m.good = r.now
 	m.faults -= m.faults * faultGain
 	m.judged++
-	m.stretch += (min(stretch, 20) - m.stretch) * 0.1
+	if stretch > 0 {
+		m.stretch += (min(stretch, 20) - m.stretch) * 0.1
+	}
 	if m.suspect && a.trial || m.suspect && a.src == m {
 		if m.wins++; m.wins >= winsNeeded {
 			m.suspect, m.faults, m.judged, m.share, m.stretch = false, 0, 0, returnShare, 1
@@ -874,7 +879,8 @@
 			quiet = quietSource
 		}
 		for _, m := range list {
-			if !m.suspect && r.now-m.good > quiet && (m.late > 1 || m.late == 1 && r.now-m.latest > lateAlone) {
+			if !m.suspect && r.now-m.good > max(quiet, quietGaps*m.gap) &&
+				(m.late > 2 || r.now-m.latest > lateAlone) {
 				r.accuse(m)
 			}
 		}
