--- a/router.go
+++ b/router.go
@@ -16,12 +16,15 @@
 // Tuned values. None is fitted to a deployment; each is a share, a count or a
 // span that follows from how people wait and how long such faults last.
 const (
-	windowCount  = 500          // part requests that close a histogram window (K)
-	windowSpan   = Millis(5000) // or this time, whichever comes first
-	discount     = 0.8          // what a window keeps of its weight when the next one closes
-	tailWeight   = 1.0          // cost of a part beyond the object's mean depth
-	maxIndex     = 2048         // part indices told apart; later ones share the last
-	maxObjects   = 20000        // objects remembered in each of two generations
+	windowCount  = 500           // part requests that close a histogram window (K)
+	windowSpan   = Millis(5000)  // or this time, whichever comes first
+	firstCount   = 32            // the first window is short: the hash's copies are soon worthless
+	moveAt       = 0.75          // a split point off by less than this of an index's cost stays
+	movedSpan    = Millis(20000) // for so long after a move the cache before may still hold copies
+	discount     = 0.8           // what a window keeps of its weight when the next one closes
+	tailWeight   = 1.0           // cost of a part beyond the object's mean depth
+	maxIndex     = 2048          // part indices told apart; later ones share the last
+	maxObjects   = 20000         // objects remembered in each of two generations
 	objectSpan   = Millis(60000)
 	keepRank     = 1           // one rank for all: a higher one would keep new copies out for long
 	anyAge       = Millis(1e9) // "any age": 0 would mean the default
@@ -88,6 +91,7 @@
 	sent, expect Millis
 	open, trial  bool
 	called       bool // cancelled by us
+	lacked       bool // only a sibling was asked, which had no copy
 	charged      Millis
 }
 
@@ -116,35 +120,44 @@
 // object is what is remembered of an object: how deep clients go, how often.
 type object struct{ first, parts, asked float64 }
 
+// layout places parts: one range per ready edge cache. With no splits there
+// are no ranges yet, and parts go by a hash.
+type layout struct {
+	edges  []*member
+	splits []int // first index past each range but the last
+	ranged bool
+}
+
 // Router decides for one router. It is not safe for concurrent use.
 type Router struct {
-	s        Settings
-	now      Millis
-	started  bool
-	rng      uint64
-	classes  map[string]*class
-	members  map[string]*member
-	byRole   [roles][]*member // listed and up, by id
-	open     map[string]*request
-	order    []*request
-	timers   map[int64]*request
-	token    int64
-	retries  float64
-	typical  [roles]float64 // sending time a warm member is given, per millisecond
-	lastSec  Millis
-	lastAsk  Millis
-	asked    bool
-	objects  [2]map[string]*object
-	turned   Millis
-	purges   map[string]Millis
-	groups   map[int]Millis
-	window   []float64
-	seen     int
-	opened   Millis
-	total    []float64
-	splits   []int // first index past each range but the last
-	splitFor int   // how many ranges they make
-	acts     []Action
+	s       Settings
+	now     Millis
+	started bool
+	rng     uint64
+	classes map[string]*class
+	members map[string]*member
+	byRole  [roles][]*member // listed and up, by id
+	open    map[string]*request
+	order   []*request
+	timers  map[int64]*request
+	token   int64
+	retries float64
+	typical [roles]float64 // sending time a warm member is given, per millisecond
+	lastSec Millis
+	lastAsk Millis
+	asked   bool
+	objects [2]map[string]*object
+	turned  Millis
+	purges  map[string]Millis
+	groups  map[int]Millis
+	window  []float64
+	seen    int
+	opened  Millis
+	total   []float64
+	layout  layout // who holds what on the ordinary path
+	prior   layout // the layout before the last change, and when that was
+	moved   Millis
+	acts    []Action
 }
 
 // New returns a router. The seed feeds all that it leaves to chance.
@@ -314,7 +327,7 @@
 	} else {
 		r.window[x] += tailWeight
 	}
-	if r.seen++; r.seen >= windowCount {
+	if r.seen++; r.seen >= windowCount || r.total == nil && r.seen >= firstCount {
 		r.closeWindow()
 	}
 	return o
@@ -344,32 +357,34 @@
 // within one index. A point that is off by less than an index's cost stays, so
 // that chance in the counts does not move ranges.
 func (r *Router) refit() {
-	n := len(r.byRole[edge])
-	sum := 0.0
+	next := layout{edges: r.byRole[edge]}
+	n, sum := len(next.edges), 0.0
 	for _, c := range r.total {
 		sum += c
 	}
-	if n == 0 || sum == 0 {
-		r.splits, r.splitFor = nil, 0
-		return
+	if n > 0 && sum > 0 {
+		next.splits, next.ranged = splitPoints(r.total, n), true
 	}
-	fresh := splitPoints(r.total, n)
-	if r.splitFor == n {
+	if next.ranged && r.layout.ranged && len(r.layout.edges) == n {
 		below := make([]float64, len(r.total)+1)
 		for x, c := range r.total {
 			below[x+1] = below[x] + c
 		}
-		for i, old := range r.splits {
-			if old = min(old, len(r.total)); old > 0 && old < len(r.total) && old != fresh[i] {
+		for i, old := range r.layout.splits {
+			if old > 0 && old < len(r.total) {
 				off := below[old] - sum*float64(i+1)/float64(n)
-				if max(off, -off) < 0.75*max(r.total[old-1], r.total[old]) {
-					fresh[i] = old
+				if max(off, -off) < moveAt*max(r.total[old-1], r.total[old]) {
+					next.splits[i] = old
 				}
 			}
 		}
-		slices.Sort(fresh)
+		slices.Sort(next.splits)
+	}
+	if !slices.Equal(next.edges, r.layout.edges) || !slices.Equal(next.splits, r.layout.splits) ||
+		next.ranged != r.layout.ranged {
+		r.prior, r.moved = r.layout, r.now
 	}
-	r.splits, r.splitFor = fresh, n
+	r.layout = next
 }
 
 // splitPoints cuts the indices into n contiguous ranges of about equal cost.
@@ -393,18 +408,16 @@
 }
 
 // owner is the edge cache of a request on the ordinary path.
-func (r *Router) owner(q *request) *member {
-	edges := r.byRole[edge]
-	if len(edges) == 0 {
+func (l layout) owner(q *request) *member {
+	switch {
+	case len(l.edges) == 0:
 		return nil
+	case !q.class.InParts:
+		return best(l.edges, q.hash)
+	case !l.ranged:
+		return best(l.edges, mix(q.hash+uint64(q.Part)))
 	}
-	if !q.class.InParts {
-		return best(edges, q.hash)
-	}
-	if r.splitFor != len(edges) {
-		return best(edges, mix(q.hash+uint64(q.Part)))
-	}
-	return edges[min(sort.SearchInts(r.splits, q.Part+1), len(edges)-1)]
+	return l.edges[sort.SearchInts(l.splits, q.Part+1)]
 }
 
 // best is the highest of a rendezvous hash: a lost member moves only its own.
@@ -483,7 +496,8 @@
 		r.finish(q)
 		return
 	}
-	if len(q.tries) > 0 && r.retries < 1 {
+	free := len(q.tries) == 0 || q.tries[len(q.tries)-1].lacked
+	if !free && r.retries < 1 {
 		r.finish(q)
 		return
 	}
@@ -496,13 +510,13 @@
 		q.parked = true // tokens and trials come back with the next beats
 		return
 	}
-	if len(q.tries) > 0 {
+	if !free {
 		r.retries--
 	}
 	a := attempt{at: at, src: src, sent: r.now, expect: r.expect(q), open: true, trial: trial}
 	send := Send{ID: q.ID, Cache: at.ID, Source: src.ID, Keep: keepRank, Age: r.age(q, src.suspect || src == at)}
 	send.Renew = q.class.Fresh > 0 && at.role == edge && src != at
-	send.Join = r.s.Joins
+	send.Join, send.Held = r.s.Joins, src.role == edge && src != at
 	if q.writes() {
 		send.Keep, send.Renew, send.Join = 0, false, false
 		if q.class.Effect == Guarded { // leave time for a repeat while it is remembered
@@ -560,7 +574,7 @@
 	if q.writes() {
 		return r.chooseWrite(q)
 	}
-	own := r.owner(q)
+	own := r.layout.owner(q)
 	order := ranked(r.byRole[edge], q.hash)
 	if own != nil {
 		order = append([]*member{own}, order...)
@@ -632,6 +646,10 @@
 // source names where a miss at m is filled from: the parents by a hash of the
 // object, the origin where none is up, m itself (no fill) where nothing is.
 func (r *Router) source(q *request, m *member) *member {
+	if old := r.prior.owner(q); old != nil && old != m && len(q.tries) == 0 && r.s.Siblings != Nowhere &&
+		m != nil && r.now-r.moved < movedSpan && !old.gone && !old.suspect && r.warmth(old) >= 1 {
+		return old // a range moved: fill past the thin link, from the cache before
+	}
 	for _, again := range []bool{false, true} {
 		for _, p := range ranked(r.byRole[parent], q.hash) {
 			if q.sourceFailed(p) == again && r.admits(p, q) {
@@ -775,6 +793,7 @@
 		}
 	case Miss:
 		a.at.good = r.now
+		a.lacked = fill && a.src.role == edge
 	case Full:
 		switch {
 		case ev.Note == NoteSourceRefused || ev.Note == NoteSourceUnreached || ev.Note == NoteOriginFailed,
--- a/router_test.go
+++ b/router_test.go
@@ -170,13 +170,13 @@
 		serve(fmt.Sprint("o", i/12), i%12)
 		g.wait(25)
 	}
-	before := slices.Clone(g.r.splits)
+	before := slices.Clone(g.r.layout.splits)
 	for i := range 600 {
 		serve(fmt.Sprint("o", i/12), i%12)
 		g.wait(25)
 	}
-	if !slices.Equal(before, g.r.splits) {
-		t.Errorf("an unchanged load moved %v to %v", before, g.r.splits)
+	if !slices.Equal(before, g.r.layout.splits) {
+		t.Errorf("an unchanged load moved %v to %v", before, g.r.layout.splits)
 	}
 	at := 0
 	for x := range 40 {
@@ -194,8 +194,8 @@
 		t.Errorf("the last range is of cache %d", at)
 	}
 	g.do(Members{Rows: []Member{{ID: "e2", Zone: "z1", Kind: "box", State: Removed}}})
-	if len(g.r.splits) != 1 {
-		t.Errorf("after a loss: splits %v", g.r.splits)
+	if len(g.r.layout.splits) != 1 {
+		t.Errorf("after a loss: splits %v", g.r.layout.splits)
 	}
 }
 
