--- a/router.go
+++ b/router.go
@@ -40,13 +40,13 @@
 	faultLimit   = 0.4 // share of faults that makes a suspect
 	firstTrial   = Millis(400)
 	lastTrial    = Millis(4000)
-	winsNeeded   = 3   // good trials in a row that clear a suspect
-	returnShare  = 0.4 // share of its traffic with which it returns
+	winsNeeded   = 3 // good trials in a row that clear a suspect
 	retryShare   = 0.25
 	retryBurst   = 30.0
 	coldBurst    = 0.5  // of the fall time's budget may be spent at once
 	coldSizeUse  = 0.35 // load assumed of a stated capacity
-	slowRatio    = 3.0  // this much slower than its peers, and than its own sending time, sheds load
+	boundFactor  = 1.25 // a cache that holds more than this times its peers' mean, and a little,
+	boundSlack   = 2.0  // of mean sending times, passes requests to the next in order
 	refuseAdvice = Millis(300)
 )
 
@@ -70,8 +70,7 @@
 	gap     Millis  // usual time between such signs
 	faults  float64 // recent share of faults
 	judged  int
-	stretch float64 // recent time over expected time of what it held
-	share   float64 // part of its ordinary traffic that it is given
+	out     Millis // expected time of what it holds for us
 	suspect bool
 	trialAt Millis // suspect: next trial
 	backoff Millis
@@ -142,6 +141,7 @@
 	timers  map[int64]*request
 	token   int64
 	retries float64
+	mean    Millis         // sending time of all requests
 	typical [roles]float64 // sending time a warm member is given, per millisecond
 	lastSec Millis
 	lastAsk Millis
@@ -182,6 +182,7 @@
 		guess := max(c.Aim/2, 1)
 		r.classes[c.Name] = &class{Class: c, mean: guess, took: guess}
 	}
+	r.mean = r.classes[s.Classes[0].Name].mean
 	if r.s.MaxAttempts <= 0 {
 		r.s.MaxAttempts = 4
 	}
@@ -251,7 +252,7 @@
 		m := r.members[row.ID]
 		if m == nil || (row.State == Serving && row.ReadyAt != m.ReadyAt) {
 			old := m
-			m = &member{share: 1, stretch: 1, good: r.now, backoff: firstTrial, topped: r.now}
+			m = &member{good: r.now, backoff: firstTrial, topped: r.now}
 			if old != nil { // outstanding attempts point to it: start anew in place
 				*old, m = *m, old
 			}
@@ -477,6 +478,7 @@
 	r.token++
 	r.timers[r.token] = q
 	r.do(Wake{In: max(q.Deadline-r.now-2*r.s.Tick, 0), Token: r.token})
+	r.mean += (q.work - r.mean) * 0.02
 	r.retries = min(r.retries+retryShare, retryBurst)
 	r.note(q)
 	r.advance(q)
@@ -529,6 +531,7 @@
 		}
 	}
 	at.work += q.work
+	at.out += a.expect
 	r.charge(at, q)
 	if src != at {
 		a.charged = r.charge(src, q)
@@ -579,10 +582,13 @@
 	if own != nil {
 		order = append([]*member{own}, order...)
 	}
+	limit := r.bound(q)
 	for _, again := range []bool{false, true} {
-		for _, m := range order {
-			if q.allows(m) && q.failed(m) == again && r.admits(m, q) {
-				return m, r.source(q, m), m.suspect
+		for _, bounded := range []bool{true, false} {
+			for _, m := range order {
+				if q.allows(m) && q.failed(m) == again && !(bounded && m.out/r.size(m) > limit) && r.admits(m, q) {
+					return m, r.source(q, m), m.suspect
+				}
 			}
 		}
 		if !again && r.s.Direct { // no cache will do: past them, if that is allowed
@@ -598,6 +604,29 @@
 	return nil, nil, false
 }
 
+// size is a member's capacity as far as it is told.
+func (r *Router) size(m *member) float64 {
+	if r.s.SizesCompare && m.Size > 0 {
+		return m.Size
+	}
+	return 1
+}
+
+// bound is the load past which a cache passes requests on: the mean of the
+// caches in service, and some room.
+func (r *Router) bound(q *request) float64 {
+	sum, size, n := 0.0, 0.0, 0.0
+	for _, m := range r.byRole[edge] {
+		if !m.suspect {
+			sum, size, n = sum+m.out, size+r.size(m), n+1
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return (boundFactor*sum + boundSlack*n*r.mean) / size
+}
+
 func (r *Router) chooseWrite(q *request) (at, src *member, trial bool) {
 	o := r.firstUp(origin, q)
 	if o == nil {
@@ -686,8 +715,6 @@
 		if m.trial || r.now < m.trialAt || len(q.tries) > 0 {
 			return false
 		}
-	} else if m.share < 1 && float64(mix(q.hash^m.hash^1)>>11)/(1<<53) >= m.share {
-		return false
 	}
 	if r.warmth(m) >= 1 {
 		return true
@@ -756,6 +783,7 @@
 	}
 	a := &q.tries[ev.Attempt]
 	a.open = false
+	a.at.out = max(a.at.out-a.expect, 0)
 	r.judge(q, a, ev)
 	for _, m := range []*member{a.at, a.src} {
 		m.trial = false
@@ -778,11 +806,11 @@
 	fill := a.src != a.at
 	switch ev.Result {
 	case OK:
-		if pace := ev.Took / (a.expect + 30); fill && filled {
-			r.bless(a.at, a, 0) // a fill's pace is not the cache's
-			r.bless(a.src, a, pace)
+		r.bless(a.at, a)
+		if fill && filled {
+			r.bless(a.src, a)
 			a.src.work += q.work
-		} else if r.bless(a.at, a, pace); fill {
+		} else if fill {
 			a.src.tokens += a.charged // a hit: no fill came to it
 		}
 		if !filled || a.at == a.src {
@@ -823,17 +851,14 @@
 
 // bless books a sign of health. A suspect returns after good trials, with part
 // of its traffic first, so that one that is cold or half well is not flooded.
-func (r *Router) bless(m *member, a *attempt, stretch float64) {
+func (r *Router) bless(m *member, a *attempt) {
 	m.gap += (min(r.now-m.good, 2000) - m.gap) * 0.1
 	m.good = r.now
 	m.faults -= m.faults * faultGain
 	m.judged++
-	if stretch > 0 {
-		m.stretch += (min(stretch, 20) - m.stretch) * 0.1
-	}
 	if m.suspect && a.trial || m.suspect && a.src == m {
 		if m.wins++; m.wins >= winsNeeded {
-			m.suspect, m.faults, m.judged, m.share, m.stretch = false, 0, 0, returnShare, 1
+			m.suspect, m.faults, m.judged = false, 0, 0
 		}
 	}
 }
@@ -942,27 +967,17 @@
 	span := r.now - r.lastSec
 	r.lastSec = r.now
 	for k, list := range r.byRole {
-		sum, n, pace := 0.0, 0, 0.0
+		sum, n := 0.0, 0
 		for _, m := range list {
 			m.rate += (m.work/span - m.rate) * 0.15
 			m.work = 0
-			if !m.suspect && m.share > 0.9 && r.warmth(m) >= 1 {
-				sum, n, pace = sum+m.rate, n+1, pace+m.stretch
+			if !m.suspect && r.warmth(m) >= 1 {
+				sum, n = sum+m.rate, n+1
 			}
 		}
 		if n > 0 {
 			r.typical[k] = sum / float64(n)
 		}
-		for _, m := range list {
-			if m.suspect {
-				continue
-			}
-			if n > 0 && m.stretch > slowRatio*pace/float64(n) && m.stretch > slowRatio {
-				m.share = max(m.share*0.75, 0.1)
-			} else {
-				m.share = min(m.share+0.1, 1)
-			}
-		}
 	}
 	if r.now-r.opened >= windowSpan {
 		r.closeWindow()
