Blame apportioned between cache and source; silence needs several overdue attempts

A parent that fails fast had made every cache a suspect; told apart now by what each shows elsewhere.

--- a/router.go
+++ b/router.go
@@ -35,9 +35,11 @@
 	quietEdge    = Millis(450) // overdue and no sign of life for so long: silent (pauses are shorter)
 	quietSource  = Millis(900) // the same for a source, which is heard of less often
 	quietGaps    = 4           // and for this many usual gaps between signs of life
-	lateAlone    = Millis(1200)
-	faultGain    = 0.2 // weight of one outcome in the share of faults
-	faultLimit   = 0.4 // share of faults that makes a suspect
+	lateCount    = 3
+	lateAlone    = Millis(1500) // one overdue attempt is enough after so long a silence
+	faultGain    = 0.12         // weight of one outcome in the share of faults
+	doubt        = 0.1          // share of faults assumed of those that showed none
+	faultLimit   = 0.4          // share of faults that makes a suspect
 	firstTrial   = Millis(400)
 	lastTrial    = Millis(4000)
 	winsNeeded   = 3 // good trials in a row that clear a suspect
@@ -92,6 +94,7 @@
 	called       bool // cancelled by us
 	lacked       bool // only a sibling was asked, which had no copy
 	charged      Millis
+	blamed       *member // who let it down
 }
 
 // request is a request in hand.
@@ -665,7 +668,7 @@
 // failed reports whether the request was let down by the member before.
 func (q *request) failed(m *member) bool {
 	for _, a := range q.tries {
-		if a.at == m || a.src == m {
+		if a.blamed == m || a.at == m && (a.called || a.src == m) {
 			return true
 		}
 	}
@@ -681,12 +684,12 @@
 	}
 	for _, again := range []bool{false, true} {
 		for _, p := range ranked(r.byRole[parent], q.hash) {
-			if q.sourceFailed(p) == again && r.admits(p, q) {
+			if q.failed(p) == again && r.admits(p, q) {
 				return p
 			}
 		}
 		for _, o := range r.byRole[origin] {
-			if q.sourceFailed(o) == again && (r.admits(o, q) || again) {
+			if q.failed(o) == again && (r.admits(o, q) || again) {
 				return o
 			}
 		}
@@ -694,16 +697,6 @@
 	return m
 }
 
-// sourceFailed reports whether a fill from p was tried for the request before.
-func (q *request) sourceFailed(p *member) bool {
-	for _, a := range q.tries {
-		if a.src == p && (a.at == p || a.at.good > a.sent || !a.at.suspect) {
-			return true
-		}
-	}
-	return false
-}
-
 // admits reports whether a member may be given the request now: it is up, not
 // a suspect (or due for its one trial), within its share, and within its
 // budget while cold.
@@ -820,31 +813,33 @@
 			}
 		}
 	case Miss:
-		a.at.good = r.now
+		a.at.good, a.blamed = r.now, a.src
 		a.lacked = fill && a.src.role == edge
 	case Full:
 		switch {
-		case ev.Note == NoteSourceRefused || ev.Note == NoteSourceUnreached || ev.Note == NoteOriginFailed,
-			ev.Note == NoteNone && r.s.Detail != DetailAll && fill && ev.Took > 100:
-			a.at.good = r.now
-			r.blame(a.src, 1)
-		case ev.Note != NoteSourceLacks:
-			r.blame(a.at, 0.25)
+		case ev.Note == NoteSourceRefused && a.src.role == origin, ev.Note == NoteSourceLacks:
+			a.blamed = a.src // it guards itself: no fault
+		case ev.Note == NoteOriginFailed:
+			a.blamed = a.src
+			for _, o := range r.byRole[origin] {
+				r.blame(o, 0.5)
+			}
+		case ev.Note == NoteSourceRefused || ev.Note == NoteSourceUnreached:
+			r.blameFor(a, a.src, 1)
+		case ev.Note == NoteNoPlace || r.s.Detail == DetailAll:
+			r.blameFor(a, a.at, 0.25)
+		default:
+			r.apportion(a, 0.5)
 		}
 	case Errored:
-		if ev.Note == NoteOriginFailed {
-			a.at.good = r.now
-			r.blame(a.src, 0.5)
-		} else {
-			r.blame(a.at, 1)
-		}
+		r.apportion(a, 1)
 	case ConnectFailed, Reset:
-		r.blame(a.at, 2)
+		r.blameFor(a, a.at, 3)
 	case TimedOut:
 		if a.at.good <= a.sent { // with progress since, it was crowded out: nobody's fault
-			r.blame(a.at, 1)
+			r.blameFor(a, a.at, 1)
 		} else if fill && a.src.good <= a.sent {
-			r.blame(a.src, 0.5)
+			r.blameFor(a, a.src, 0.5)
 		}
 	}
 }
@@ -863,6 +858,27 @@
 	}
 }
 
+// apportion blames a fault that the cache or the source may have: each in
+// proportion to the faults it has shown elsewhere, so that one explains the
+// other away.
+func (r *Router) apportion(a *attempt, w float64) {
+	if a.src == a.at {
+		r.blameFor(a, a.at, w)
+		return
+	}
+	part := (a.at.faults + doubt) / (a.at.faults + a.src.faults + 2*doubt)
+	r.blame(a.at, w*part)
+	r.blame(a.src, w*(1-part))
+	if a.blamed = a.at; part < 0.5 {
+		a.blamed = a.src
+	}
+}
+
+func (r *Router) blameFor(a *attempt, m *member, w float64) {
+	a.blamed = m
+	r.blame(m, w)
+}
+
 // blame books a fault; w is its weight.
 func (r *Router) blame(m *member, w float64) {
 	for ; w > 0; w-- {
@@ -924,7 +940,7 @@
 		}
 		for _, m := range list {
 			if !m.suspect && r.now-m.good > max(quiet, quietGaps*m.gap) &&
-				(m.late > 2 || r.now-m.latest > lateAlone) {
+				(m.late >= lateCount || m.late > 0 && r.now-m.good > lateAlone) {
 				r.accuse(m)
 			}
 		}
