--- /dev/null
+++ b/state.go
@@ -0,0 +1,182 @@
+package indigospool
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// This file holds what a Router remembers, and plain helpers. It decides
+// nothing: every choice and every tuned value is in router.go.
+
+type role int
+
+const (
+	edge role = iota
+	parent
+	origin
+	foreign // a cache of another zone
+	roles
+)
+
+// member is a listed cache, parent or origin and what is known of it.
+type member struct {
+	Member
+	role           role
+	hash           uint64
+	gone           bool    // draining, removed or no longer listed
+	good, gap      Millis  // last sign that it makes progress, and the usual time between two
+	faults         float64 // recent share of faults
+	judged, wins   int
+	suspect, trial bool // trial: its single trial is out
+	trialAt        Millis
+	backoff        Millis
+	out            Millis // expected time of what it holds for us
+	late           int    // overdue attempts at the last beat
+	work           Millis // sending time given to it since the last second
+	rate           float64
+	tokens, topped Millis // cold: sending time that may be given now
+}
+
+// attempt is one attempt of a request.
+type attempt struct {
+	at, src      *member
+	sent, expect Millis
+	open, trial  bool
+	fill         bool // it takes room on the location's link
+	called       bool // cancelled by us
+	lacked       bool // only a cache was asked, which had no copy
+	blamed       *member
+}
+
+// request is a request in hand.
+type request struct {
+	Request
+	class                *class
+	hash                 uint64
+	arrived              Millis
+	work                 Millis // own sending time, as told or as its class takes
+	tries                []attempt
+	over, parked, stream bool
+	seat                 *member // the cache that missed it and is to be filled
+	sibling, stale       bool    // a sibling was asked; an old copy will do
+	ran                  *member // where the first attempt that may have run went
+	ranAt                Millis
+}
+
+// class is a class and what is seen of it.
+type class struct {
+	Class
+	mean Millis // sending time
+	took Millis // time of answers from held copies
+}
+
+// object is what is remembered of an object: how deep clients go, how often.
+type object struct{ first, parts float64 }
+
+// layout places parts: one range per ready edge cache. With no splits there
+// are no ranges yet, and parts go by a hash.
+type layout struct {
+	edges  []*member
+	splits []int // first index past each range but the last
+	ranged bool
+}
+
+// Router decides for one router. It is not safe for concurrent use.
+type Router struct {
+	s              Settings
+	now            Millis
+	started, asked bool
+	classes        map[string]*class
+	members        map[string]*member
+	byRole         [roles][]*member // listed and up, by id
+	open           map[string]*request
+	order          []*request // as they came
+	timers         map[int64]*request
+	token          int64
+	retries        float64        // further attempts that may be made
+	mean           Millis         // sending time of all requests
+	fills, room    float64        // fills out, and how many the location's link is thought to bear
+	cut            Millis         // when room was last lowered
+	typical        [roles]float64 // sending time a warm member is given, per millisecond
+	lastSec        Millis
+	objects        [2]map[string]*object // two generations
+	turned         Millis
+	purges         map[string]Millis
+	groups         map[int]Millis
+	window, total  []float64 // cost by part index: the open window, and the discounted sum
+	seen           int
+	opened         Millis
+	layout, prior  layout // who holds what, and before the last change
+	moved          Millis // when that was
+	acts           []Action
+}
+
+func total(cost []float64) (sum float64) {
+	for _, c := range cost {
+		sum += c
+	}
+	return sum
+}
+
+// best is the highest of a rendezvous hash: a lost member moves only its own.
+func best(list []*member, h uint64) (top *member) {
+	var high uint64
+	for _, m := range list {
+		if v := mix(h ^ m.hash); top == nil || v > high {
+			top, high = m, v
+		}
+	}
+	return top
+}
+
+// ranked is the list in falling order of the rendezvous hash.
+func ranked(list []*member, h uint64) []*member {
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(mix(h^b.hash), mix(h^a.hash)) })
+	return list
+}
+
+func hashString(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return mix(h)
+}
+
+func mix(h uint64) uint64 {
+	h += 0x9e3779b97f4a7c15
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+func (q *request) busy() bool {
+	return slices.ContainsFunc(q.tries, func(a attempt) bool { return a.open })
+}
+
+func (q *request) writes() bool { return q.class.Write || q.Write }
+
+// check tells of settings that contradict themselves.
+func (s Settings) check() error {
+	switch {
+	case len(s.Classes) == 0:
+		return errors.New("indigospool: settings name no class")
+	case s.ColdFrom < 0 || s.ColdFrom > 1 || s.ParentColdFrom < 0 || s.ParentColdFrom > 1:
+		return errors.New("indigospool: a cold share is not within 0 and 1")
+	case s.ParentKind != "" && s.ParentKind == s.OriginKind:
+		return fmt.Errorf("indigospool: parents and origin are both of kind %q", s.ParentKind)
+	case s.PurgeTakes < 0 || s.ColdTime < 0 || s.ParentColdTime < 0 || s.DrainGrace < 0:
+		return errors.New("indigospool: a span is negative")
+	}
+	named := map[string]bool{}
+	for _, c := range s.Classes {
+		if named[c.Name] {
+			return fmt.Errorf("indigospool: class %q is named twice", c.Name)
+		}
+		named[c.Name] = true
+	}
+	return nil
+}
