--- a/router.go
+++ b/router.go
@@ -37,6 +37,8 @@
 	looksNeed    = 3           // attempts that must be left to spend one on a look
 	firstRoom    = 32.0        // fills at once at first, and at least; then as many as come in within the aim
 	leastRoom    = 2.0
+	tardyPart    = 0.6 // a fill is tardy past this part of the aim
+	tardyShare   = 0.4 // and the link too full at this share of tardy fills
 	lateCount    = 3
 	lateAlone    = Millis(1500) // one overdue attempt is enough after so long a silence
 	faultGain    = 0.12         // weight of one outcome in the share of faults
@@ -50,7 +52,7 @@
 	coldBurst    = 0.5  // of the fall time's budget may be spent at once
 	coldSizeUse  = 0.35 // load assumed of a stated capacity
 	boundFactor  = 1.25 // a cache that holds more than this times its peers' mean, and a little,
-	boundSlack   = 2.0  // of mean sending times, passes requests to the next in order
+	boundSlack   = 1.0  // of mean sending times, passes requests to the next in order
 	refuseAdvice = Millis(300)
 )
 
@@ -59,7 +61,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	r := &Router{s: s, retries: retryBurst, room: firstRoom, classes: map[string]*class{},
+	r := &Router{s: s, retries: retryBurst, room: firstRoom, pace: 1, classes: map[string]*class{},
 		members: map[string]*member{}, open: map[string]*request{}, timers: map[int64]*request{},
 		objects: [2]map[string]*object{{}, {}}, purges: map[string]Millis{}, groups: map[int]Millis{}}
 	for _, c := range s.Classes {
@@ -635,11 +637,18 @@
 // aim is how long an answer may take and still earn its worth.
 func (q *request) aim() Millis { return q.class.Aim + q.class.AimStretch*q.work }
 
-// gauge learns how many fills at once the location's link bears: one more when
-// they come in within the aim, a tenth less when they do not.
+// gauge learns how many fills at once the location's link bears: a tenth less
+// when too many of them use up most of the aim, else one more. A few may be
+// late for other reasons: size, a far source.
 func (r *Router) gauge(q *request, a *attempt) {
-	if r.now-a.sent > q.aim() {
-		if r.now-r.cut > 100 {
+	r.pace += (min(max((r.now-a.sent)/(q.work+50), 1), 4) - r.pace) * 0.05
+	late := 0.0
+	if r.now-a.sent > tardyPart*q.aim() {
+		late = 1
+	}
+	r.tardy += (late - r.tardy) * 0.1
+	if r.tardy > tardyShare {
+		if late > 0 && r.now-r.cut > 100 {
 			r.room, r.cut = max(min(r.room, r.fills+1)*0.9, leastRoom), r.now
 		}
 	} else if a.blamed == nil && r.fills+2 >= r.room {
@@ -658,7 +667,7 @@
 	}
 	earns := func(q *request) float64 {
 		worth := q.class.Worth
-		if r.now+q.work > q.arrived+q.aim() {
+		if r.now+q.work*r.pace > q.arrived+q.aim() {
 			worth *= q.class.LateWorth
 		}
 		return worth / (q.work + 1)
--- a/state.go
+++ b/state.go
@@ -99,6 +99,8 @@
 	mean           Millis         // sending time of all requests
 	fills, room    float64        // fills out, and how many the location's link is thought to bear
 	cut            Millis         // when room was last lowered
+	pace           float64        // recent time of fills over their sending time
+	tardy          float64        // recent share of fills that took most of the aim
 	typical        [roles]float64 // sending time a warm member is given, per millisecond
 	lastSec        Millis
 	objects        [2]map[string]*object // two generations
