--- a/router.go
+++ b/router.go
@@ -508,15 +508,9 @@
 	if q.ran == nil || q.class.Effect == Free {
 		return true
 	}
-	switch q.class.Group {
-	case Everywhere:
-		return true
-	case Location:
-		return m.Zone == q.ran.Zone
-	case Cell:
-		return m.Zone == q.ran.Zone && m.Cell == q.ran.Cell
-	}
-	return m == q.ran
+	near := m.Zone == q.ran.Zone
+	return q.class.Group == Everywhere || m == q.ran || q.class.Group == Location && near ||
+		q.class.Group == Cell && near && m.Cell == q.ran.Cell
 }
 
 // failed reports whether the request was let down by the member before.
@@ -585,7 +579,6 @@
 // judged by what it gives warm members of the kind, or by stated capacity.
 func (r *Router) top(m *member) {
 	sharers := max(r.s.Routers, 1)
-	span := r.s.FallTime
 	if i := slices.Index(r.s.Zones, r.s.Zone); m.role == edge && i >= 0 && i < len(r.s.RoutersByZone) {
 		sharers = max(r.s.RoutersByZone[i], 1)
 	}
@@ -594,7 +587,7 @@
 		base = max(base, coldSizeUse*m.Size/float64(sharers))
 	}
 	rate := base * r.warmth(m)
-	m.tokens = min(m.tokens+rate*(r.now-m.topped), rate*max(span, 500)*coldBurst)
+	m.tokens = min(m.tokens+rate*(r.now-m.topped), rate*max(r.s.FallTime, 500)*coldBurst)
 	m.topped = r.now
 }
 
@@ -642,13 +635,13 @@
 // late for other reasons: size, a far source.
 func (r *Router) gauge(q *request, a *attempt) {
 	r.pace += (min(max((r.now-a.sent)/(q.work+50), 1), 4) - r.pace) * 0.05
-	late := 0.0
-	if r.now-a.sent > tardyPart*q.aim() {
-		late = 1
+	late := r.now-a.sent > tardyPart*q.aim()
+	r.tardy *= 0.9
+	if late {
+		r.tardy += 0.1
 	}
-	r.tardy += (late - r.tardy) * 0.1
 	if r.tardy > tardyShare {
-		if late > 0 && r.now-r.cut > 100 {
+		if late && r.now-r.cut > 100 {
 			r.room, r.cut = max(min(r.room, r.fills+1)*0.9, leastRoom), r.now
 		}
 	} else if a.blamed == nil && r.fills+2 >= r.room {
@@ -876,8 +869,7 @@
 // finish gives the final answer: a refusal where a repeat is surely harmless.
 func (r *Router) finish(q *request) {
 	r.close(q)
-	ran := q.ran != nil && q.class.Effect != Free
-	if ran && !(q.class.Effect == Guarded && q.class.Group == Everywhere) {
+	if e := q.class.Effect; q.ran != nil && (e == SingleShot || e == Guarded && q.class.Group != Everywhere) {
 		r.do(Fail{ID: q.ID})
 		return
 	}
