A gate at each cache; cold budget from what was served, no places held

Two tests seen to fail before. The gate of the location's link now also stands at each cache, so an overload of hits waits in order of worth for work. It may hold back hits where sizes are not told.

--- a/router.go
+++ b/router.go
@@ -61,7 +61,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	r := &Router{s: s, retries: retryBurst, room: firstRoom, pace: 1, classes: map[string]*class{},
+	r := &Router{s: s, retries: retryBurst, link: gate{room: firstRoom}, pace: 1, classes: map[string]*class{},
 		members: map[string]*member{}, open: map[string]*request{}, timers: map[int64]*request{},
 		objects: [2]map[string]*object{{}, {}}, purges: map[string]Millis{}, groups: map[int]Millis{}}
 	for _, c := range s.Classes {
@@ -136,7 +136,7 @@
 		m := r.members[row.ID]
 		if m == nil || (row.State == Serving && row.ReadyAt != m.ReadyAt) {
 			old := m
-			m = &member{good: r.now, backoff: firstTrial, topped: r.now}
+			m = &member{gate: gate{room: firstRoom}, good: r.now, backoff: firstTrial, topped: r.now}
 			if old != nil { // outstanding attempts point to it: start anew in place
 				*old, m = *m, old
 			}
@@ -357,20 +357,17 @@
 		}
 	}
 	if a.fill {
-		r.fills++
+		r.link.held++
 	}
+	at.held++
 	at.out += a.expect
 	for _, m := range []*member{at, src} {
 		if m.suspect {
 			m.trial, m.trialAt = true, r.now+m.backoff
 		}
-		if m == at || m.role != edge {
-			m.work += q.work
-			m.tokens -= r.cost(m, q)
-		}
-		if src == at {
-			break
-		}
+	}
+	if at.tokens -= r.cost(at, q); src != at && src.role != edge {
+		src.tokens -= r.cost(src, q)
 	}
 	if q.ran == nil {
 		q.ran, q.ranAt = at, r.now // until its outcome proves otherwise
@@ -406,7 +403,7 @@
 	if q.writes() {
 		return r.chooseWrite(q)
 	}
-	if q.seat == nil || q.seat.gone || q.seat.suspect {
+	if q.seat == nil || q.seat.gone || q.seat.suspect || r.warmth(q.seat) < 1 { // cold: no place is held
 		q.seat = nil
 		m := r.pickEdge(q)
 		if m != nil && r.warmth(m) >= 1 && r.s.MaxAttempts-len(q.tries) >= looksNeed {
@@ -420,7 +417,7 @@
 		q.sibling = true // a range moved: fill past the thin link, from the cache before
 		return q.seat, old
 	}
-	if r.fills >= r.room {
+	if r.link.held >= r.link.room {
 		if q.seat != nil && !q.stale && q.class.Grace > 0 && r.s.MaxAttempts-len(q.tries) >= looksNeed {
 			q.stale = true // better an old copy now than a full link
 			return q.seat, q.seat
@@ -545,6 +542,9 @@
 			return false
 		}
 	}
+	if m.role == edge && m.held >= m.room {
+		return false
+	}
 	if r.warmth(m) >= 1 {
 		return true
 	}
@@ -576,7 +576,7 @@
 }
 
 // top refills a cold member's budget: this router's share of what it can bear,
-// judged by what it gives warm members of the kind, or by stated capacity.
+// judged by what warm ones of the kind serve it, or by stated capacity.
 func (r *Router) top(m *member) {
 	sharers := max(r.s.Routers, 1)
 	if i := slices.Index(r.s.Zones, r.s.Zone); m.role == edge && i >= 0 && i < len(r.s.RoutersByZone) {
@@ -606,23 +606,24 @@
 	if a.blamed == a.at {
 		q.seat = nil
 	}
-	if a.fill {
-		r.fills--
-		r.gauge(q, a)
+	late := r.now-a.sent > tardyPart*q.aim()
+	if a.at.held = max(a.at.held-1, 0); a.fill {
+		r.link.held--
+		r.pace += (min(max((r.now-a.sent)/(q.work+50), 1), 4) - r.pace) * 0.05
+		r.gauge(&r.link, late, a.blamed == nil)
+	} else if ev.Result != Miss {
+		r.gauge(&a.at.gate, late, a.blamed == nil)
 	}
 	a.at.trial, a.src.trial = false, false
 	if ev.Result.RanNot() && q.ran == a.at && q.ranAt == a.sent {
 		q.ran = nil
 	}
-	if ev.Last {
-		q.over = true
-	}
-	if q.over {
+	if q.over = q.over || ev.Last; q.over {
 		r.drop(q)
 	} else if !q.busy() && !q.stream {
 		r.advance(q)
 	}
-	if a.fill {
+	if a.fill || ev.Result != Miss {
 		r.pump()
 	}
 }
@@ -630,22 +631,20 @@
 // aim is how long an answer may take and still earn its worth.
 func (q *request) aim() Millis { return q.class.Aim + q.class.AimStretch*q.work }
 
-// gauge learns how many fills at once the location's link bears: a tenth less
-// when too many of them use up most of the aim, else one more. A few may be
-// late for other reasons: size, a far source.
-func (r *Router) gauge(q *request, a *attempt) {
-	r.pace += (min(max((r.now-a.sent)/(q.work+50), 1), 4) - r.pace) * 0.05
-	late := r.now-a.sent > tardyPart*q.aim()
-	r.tardy *= 0.9
+// gauge learns how many transfers at once a link bears, the location's or a
+// cache's: a tenth less when too many of them use up most of the aim, else one
+// more. A few may be late for other reasons: size, a far source.
+func (r *Router) gauge(g *gate, late, good bool) {
+	g.tardy *= 0.9
 	if late {
-		r.tardy += 0.1
+		g.tardy += 0.1
 	}
-	if r.tardy > tardyShare {
-		if late && r.now-r.cut > 100 {
-			r.room, r.cut = max(min(r.room, r.fills+1)*0.9, leastRoom), r.now
+	if g.tardy > tardyShare {
+		if late && r.now-g.cut > 100 {
+			g.room, g.cut = max(min(g.room, g.held+1)*0.9, leastRoom), r.now
 		}
-	} else if a.blamed == nil && r.fills+2 >= r.room {
-		r.room += 1 / r.room
+	} else if good && g.held+2 >= g.room {
+		g.room += 1 / g.room
 	}
 }
 
@@ -676,8 +675,10 @@
 	switch ev.Result {
 	case OK:
 		r.bless(a.at, a)
+		a.at.work += q.work
 		if fill && ev.Note != NoteHit {
 			r.bless(a.src, a)
+			a.src.work += q.work
 		} else if a.at.role == edge {
 			q.class.took += (ev.Took - q.class.took) * 0.02
 			if q.KB <= 0 {
--- a/router_test.go
+++ b/router_test.go
@@ -514,3 +514,52 @@
 		t.Error("a lost subscription is not asked for again, once")
 	}
 }
+
+// TestColdCacheIsNotFloodedByWaiters guards against bursts at a cold cache:
+// requests that waited for the link must not all hold a place at it. It should
+// cover any wait that ends for many at once.
+func TestColdCacheIsNotFloodedByWaiters(t *testing.T) {
+	g := newRig(t, testSettings())
+	for i := range 300 {
+		id, s, n := g.fill("page", fmt.Sprint("w", i), 0)
+		g.do(Outcome{ID: id, Attempt: n, Cache: s.Cache, Result: OK, Took: 100, Last: true, Note: NoteFilled})
+		g.wait(20)
+	}
+	m := g.r.members["e2"].Member
+	m.ReadyAt = g.now
+	g.do(Members{Rows: []Member{m}})
+	g.wait(500)
+	g.r.link.room = 0
+	for i := range 60 {
+		id, acts := g.ask("video", fmt.Sprint("c", i), i%9)
+		for _, s := range sends(acts) {
+			g.do(Outcome{ID: id, Cache: s.Cache, Result: Miss, Took: 1})
+		}
+	}
+	g.r.link.room = 1000
+	cold := 0
+	for _, s := range sends(g.wait(100)) {
+		if s.Cache == "e2" {
+			cold++
+		}
+	}
+	if cold > 2 {
+		t.Errorf("%d attempts at a cold cache at once", cold)
+	}
+}
+
+// TestTypicalIsWhatWasServed: the load that a warm cache is seen to bear is
+// what it served, not what was thrown at it in an overload.
+func TestTypicalIsWhatWasServed(t *testing.T) {
+	g := newRig(t, testSettings())
+	for i := range 300 {
+		id, acts := g.ask("page", fmt.Sprint("w", i), 0)
+		for n := 0; n < 6 && len(sends(acts)) > 0; n++ {
+			acts = g.do(Outcome{ID: id, Attempt: n, Result: Full, Note: NoteSourceLacks, Took: 1})
+		}
+		g.wait(20)
+	}
+	if g.r.typical[edge] > 0 {
+		t.Errorf("caches that served nothing are thought to bear %v", g.r.typical[edge])
+	}
+}
--- a/state.go
+++ b/state.go
@@ -23,6 +23,7 @@
 // member is a listed cache, parent or origin and what is known of it.
 type member struct {
 	Member
+	gate
 	role           role
 	hash           uint64
 	gone           bool    // draining, removed or no longer listed
@@ -39,6 +40,13 @@
 	tokens, topped Millis // cold: sending time that may be given now
 }
 
+// gate limits what is out over a link to what comes in on time.
+type gate struct {
+	held, room float64 // what is out, and how much is thought to be borne
+	tardy      float64 // recent share that took most of the aim
+	cut        Millis  // when room was last lowered
+}
+
 // attempt is one attempt of a request.
 type attempt struct {
 	at, src      *member
@@ -97,10 +105,8 @@
 	token          int64
 	retries        float64        // further attempts that may be made
 	mean           Millis         // sending time of all requests
-	fills, room    float64        // fills out, and how many the location's link is thought to bear
-	cut            Millis         // when room was last lowered
+	link           gate           // fills
 	pace           float64        // recent time of fills over their sending time
-	tardy          float64        // recent share of fills that took most of the aim
 	typical        [roles]float64 // sending time a warm member is given, per millisecond
 	lastSec        Millis
 	objects        [2]map[string]*object // two generations
