--- a/router.go
+++ b/router.go
@@ -18,9 +18,9 @@
 	windowCount  = 500           // part requests that close a histogram window (K)
 	windowSpan   = Millis(5000)  // or this time, whichever comes first
 	firstCount   = 32            // the first window is short: the hash's copies are soon worthless
-	moveAt       = 0.75          // a split point off by less than this of an index's cost stays
+	moveAt       = 1.0           // a split point off by less than this of an index's cost stays
 	movedSpan    = Millis(20000) // for so long after a move the cache before may still hold copies
-	discount     = 0.8           // what a window keeps of its weight when the next one closes
+	discount     = 0.95          // what a window keeps of its weight when the next one closes
 	tailWeight   = 1.0           // cost of a part beyond the object's mean depth
 	maxIndex     = 2048          // part indices told apart; later ones share the last
 	maxObjects   = 20000         // objects remembered in each of two generations
