--- a/router.go
+++ b/router.go
@@ -659,7 +659,7 @@
 	}
 	earns := func(q *request) float64 {
 		worth := q.class.Worth
-		if r.now+q.work*r.pace > q.arrived+q.aim() {
+		if q.Retry || r.now+q.work*r.pace > q.arrived+q.aim() { // a repeat has waited before
 			worth *= q.class.LateWorth
 		}
 		return worth / (q.work + 1)
--- a/router_test.go
+++ b/router_test.go
@@ -563,3 +563,21 @@
 		t.Errorf("caches that served nothing are thought to bear %v", g.r.typical[edge])
 	}
 }
+
+// TestFirstTriesGoBeforeRepeats: a client's repeat has lost most of its worth,
+// so it waits behind a first try. It guards against repeats crowding out what
+// could still be on time.
+func TestFirstTriesGoBeforeRepeats(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.r.link.room = 0
+	for _, retry := range []bool{true, false} {
+		id := fmt.Sprint(retry)
+		for _, s := range sends(g.do(Request{ID: id, Class: "video", Object: id, KB: 100, Retry: retry, Deadline: g.now + 6000})) {
+			g.do(Outcome{ID: id, Cache: s.Cache, Result: Miss, Took: 1})
+		}
+	}
+	g.r.link.room = 1
+	if s := sends(g.wait(beatSpan)); len(s) != 1 || s[0].ID != "false" {
+		t.Errorf("with room for one, sent %v", s)
+	}
+}
