--- a/router.go
+++ b/router.go
@@ -62,8 +62,9 @@
 		return nil, err
 	}
 	r := &Router{s: s, retries: retryBurst, link: gate{room: firstRoom}, pace: 1,
-		classes: map[string]*class{}, members: map[string]*member{}, open: map[string]*request{}, timers: map[int64]*request{},
-		objects: [2]map[string]*object{{}, {}}, purges: map[string]Millis{}, groups: map[int]Millis{}}
+		classes: map[string]*class{}, members: map[string]*member{}, open: map[string]*request{},
+		timers: map[int64]*request{}, objects: [2]map[string]*object{{}, {}},
+		purges: map[string]Millis{}, groups: map[int]Millis{}}
 	for _, c := range s.Classes {
 		guess := max(c.Aim/2, 1)
 		r.classes[c.Name] = &class{Class: c, mean: guess, took: guess}
