The least room for fills is shared by the routers of a location

Cause: twenty routers with room for at least two fills each put forty on a link that bears about ten. A fraction of a place is now a part of the time.

--- a/router.go
+++ b/router.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sort"
 )
@@ -418,7 +419,7 @@
 		q.sibling = true // a range moved: fill past the thin link, from the cache before
 		return q.seat, old
 	}
-	if r.link.held >= r.link.room {
+	if !r.link.free(r.now) {
 		if q.seat != nil && !q.stale && q.class.Grace > 0 && r.s.MaxAttempts-len(q.tries) >= looksNeed {
 			q.stale = true // better an old copy now than a full link
 			return q.seat, q.seat
@@ -535,15 +536,8 @@
 // a suspect (or due for its one trial), within its share, and within its
 // budget while cold.
 func (r *Router) admits(m *member, q *request) bool {
-	if m.gone {
-		return false
-	}
-	if m.suspect {
-		if m.trial || r.now < m.trialAt || len(q.tries) > 0 {
-			return false
-		}
-	}
-	if m.role == edge && m.held >= m.room {
+	if m.gone || m.suspect && (m.trial || r.now < m.trialAt || len(q.tries) > 0) ||
+		m.role == edge && m.held >= max(m.room, leastRoom) {
 		return false
 	}
 	if r.warmth(m) >= 1 {
@@ -579,13 +573,9 @@
 // top refills a cold member's budget: this router's share of what it can bear,
 // judged by what warm ones of the kind serve it, or by stated capacity.
 func (r *Router) top(m *member) {
-	sharers := max(r.s.Routers, 1)
-	if i := slices.Index(r.s.Zones, r.s.Zone); m.role == edge && i >= 0 && i < len(r.s.RoutersByZone) {
-		sharers = max(r.s.RoutersByZone[i], 1)
-	}
 	base := r.typical[m.role]
 	if r.s.SizesCompare {
-		base = max(base, coldSizeUse*m.Size/float64(sharers))
+		base = max(base, coldSizeUse*m.Size/r.s.sharers(m.role))
 	}
 	rate := base * r.warmth(m)
 	m.tokens = min(m.tokens+rate*(r.now-m.topped), rate*max(r.s.FallTime, 500)*coldBurst)
@@ -611,9 +601,9 @@
 	if a.at.held = max(a.at.held-1, 0); a.fill {
 		r.link.held--
 		r.pace += (min(max((r.now-a.sent)/(q.work+50), 1), 4) - r.pace) * 0.05
-		r.gauge(&r.link, late, a.blamed == nil)
+		r.gauge(&r.link, r.now-a.sent, late, a.blamed == nil)
 	} else if ev.Result != Miss {
-		r.gauge(&a.at.gate, late, a.blamed == nil)
+		r.gauge(&a.at.gate, r.now-a.sent, late, a.blamed == nil)
 	}
 	a.at.trial, a.src.trial = false, false
 	if ev.Result.RanNot() && q.ran == a.at && q.ranAt == a.sent {
@@ -634,19 +624,29 @@
 
 // gauge learns how many transfers at once a link bears, the location's or a
 // cache's: a tenth less when too many of them use up most of the aim, else one
-// more. A few may be late for other reasons: size, a far source.
-func (r *Router) gauge(g *gate, late, good bool) {
+// more. A few may be late for other reasons: size, a far source. All routers of
+// the location share the least room of its link; it binds where they are many.
+func (r *Router) gauge(g *gate, span Millis, late, good bool) {
 	g.tardy *= 0.9
 	if late {
 		g.tardy += 0.1
 	}
 	if g.tardy > tardyShare {
 		if late && r.now-g.cut > 100 {
-			g.room, g.cut = max(min(g.room, g.held+1)*0.9, leastRoom), r.now
+			g.room, g.cut = max(min(g.room, g.held+1)*0.9, leastRoom/r.s.sharers(edge)), r.now
 		}
 	} else if good && g.held+2 >= g.room {
-		g.room += 1 / g.room
+		g.room += 1 / max(g.room, 1)
 	}
+	part := g.room - math.Floor(g.room)
+	g.next = r.now + span*(1/max(part, 0.05)-1)
+}
+
+// free reports whether one more transfer may start. The fraction of a room is
+// a place used that part of the time: one router of many may have less than one.
+func (g *gate) free(now Millis) bool {
+	whole := math.Floor(g.room)
+	return g.held < whole || g.held == whole && now >= g.next
 }
 
 // pump lets waiting requests go on, those first that earn most for their work:
--- a/state.go
+++ b/state.go
@@ -44,7 +44,7 @@
 type gate struct {
 	held, room float64 // what is out, and how much is thought to be borne
 	tardy      float64 // recent share that took most of the aim
-	cut        Millis  // when room was last lowered
+	cut, next  Millis  // when room was last lowered, and when its fraction is free again
 }
 
 // attempt is one attempt of a request.
@@ -165,6 +165,15 @@
 	return slices.ContainsFunc(q.tries, func(a attempt) bool { return a.open })
 }
 
+// sharers is how many routers send to the members of a role, as told.
+func (s Settings) sharers(k role) float64 {
+	n := s.Routers
+	if i := slices.Index(s.Zones, s.Zone); k == edge && i >= 0 && i < len(s.RoutersByZone) {
+		n = s.RoutersByZone[i]
+	}
+	return float64(max(n, 1))
+}
+
 func (q *request) writes() bool { return q.class.Write || q.Write }
 
 // check tells of settings that contradict themselves.
