--- a/router.go
+++ b/router.go
@@ -536,7 +536,7 @@
 // a suspect (or due for its one trial), within its share, and within its
 // budget while cold.
 func (r *Router) admits(m *member, q *request) bool {
-	if m.gone || m.suspect && (m.trial || r.now < m.trialAt || !q.fresh()) ||
+	if m.gone || m.suspect && (m.trial || r.now < m.trialAt || len(q.tries) > 0) ||
 		m.role == edge && m.held >= max(m.room, leastRoom) {
 		return false
 	}
--- a/state.go
+++ b/state.go
@@ -174,12 +174,6 @@
 	return float64(max(n, 1))
 }
 
-// fresh reports whether no attempt of the request has failed: caches that were
-// asked and lacked the object don't count.
-func (q *request) fresh() bool {
-	return !slices.ContainsFunc(q.tries, func(a attempt) bool { return !a.lacked })
-}
-
 func (q *request) writes() bool { return q.class.Write || q.Write }
 
 // check tells of settings that contradict themselves.
