--- a/router.go
+++ b/router.go
@@ -40,7 +40,6 @@
 	leastRoom    = 2.0
 	tardyPart    = 0.6 // a fill is tardy past this part of the aim
 	tardyShare   = 0.4 // and the link too full at this share of tardy fills
-	lostAims     = 1.5 // an attempt holds no place after so many times its aim
 	lateCount    = 3
 	lateAlone    = Millis(1500) // one overdue attempt is enough after so long a silence
 	faultGain    = 0.12         // weight of one outcome in the share of faults
@@ -63,7 +62,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	r := &Router{s: s, retries: retryBurst, link: gate{room: firstRoom}, all: gate{room: firstRoom}, pace: 1,
+	r := &Router{s: s, retries: retryBurst, link: gate{room: firstRoom}, pace: 1,
 		classes: map[string]*class{}, members: map[string]*member{}, open: map[string]*request{},
 		timers: map[int64]*request{}, objects: [2]map[string]*object{{}, {}},
 		purges: map[string]Millis{}, groups: map[int]Millis{}}
@@ -345,7 +344,7 @@
 	if !free {
 		r.retries--
 	}
-	a := attempt{at: at, src: src, sent: r.now, expect: q.class.took, open: true, placed: true}
+	a := attempt{at: at, src: src, sent: r.now, expect: q.class.took, open: true}
 	if q.KB > 0 && r.s.FlowKBPerMs > 0 {
 		a.expect = q.work
 	}
@@ -363,7 +362,6 @@
 		r.link.held++
 	}
 	at.held++
-	r.all.held++
 	at.out += a.expect
 	for _, m := range []*member{at, src} {
 		if m.suspect {
@@ -407,9 +405,6 @@
 	if q.writes() {
 		return r.chooseWrite(q)
 	}
-	if !r.all.free(r.now) {
-		return nil, nil
-	}
 	if q.seat == nil || q.seat.gone || q.seat.suspect || r.warmth(q.seat) < 1 { // cold: no place is held
 		q.seat = nil
 		m := r.pickEdge(q)
@@ -603,15 +598,12 @@
 		q.seat = nil
 	}
 	late := r.now-a.sent > tardyPart*q.aim()
-	r.release(a)
-	if ev.Result != Miss {
-		r.gauge(&r.all, float64(len(r.byRole[edge])), r.now-a.sent, late, a.blamed == nil)
-	}
-	if a.fill {
+	if a.at.held = max(a.at.held-1, 0); a.fill {
+		r.link.held--
 		r.pace += (min(max((r.now-a.sent)/(q.work+50), 1), 4) - r.pace) * 0.05
-		r.gauge(&r.link, 1, r.now-a.sent, late, a.blamed == nil)
+		r.gauge(&r.link, r.now-a.sent, late, a.blamed == nil)
 	} else if ev.Result != Miss {
-		r.gauge(&a.at.gate, 1, r.now-a.sent, late, a.blamed == nil)
+		r.gauge(&a.at.gate, r.now-a.sent, late, a.blamed == nil)
 	}
 	a.at.trial, a.src.trial = false, false
 	if ev.Result.RanNot() && q.ran == a.at && q.ranAt == a.sent {
@@ -634,14 +626,14 @@
 // cache's: a tenth less when too many of them use up most of the aim, else one
 // more. A few may be late for other reasons: size, a far source. All routers of
 // the location share the least room of its link; it binds where they are many.
-func (r *Router) gauge(g *gate, links float64, span Millis, late, good bool) {
+func (r *Router) gauge(g *gate, span Millis, late, good bool) {
 	g.tardy *= 0.9
 	if late {
 		g.tardy += 0.1
 	}
 	if g.tardy > tardyShare {
 		if late && r.now-g.cut > 100 {
-			g.room, g.cut = max(min(g.room, g.held+1)*0.9, leastRoom*links/r.s.sharers(edge)), r.now
+			g.room, g.cut = max(min(g.room, g.held+1)*0.9, leastRoom/r.s.sharers(edge)), r.now
 		}
 	} else if good && g.held+2 >= g.room {
 		g.room += 1 / max(g.room, 1)
@@ -794,11 +786,7 @@
 	}
 	for _, q := range r.order {
 		for i := range q.tries {
-			a := &q.tries[i]
-			if r.now-a.sent > lostAims*q.aim() {
-				r.release(a)
-			}
-			if a.overdue(r.now) {
+			if a := &q.tries[i]; a.overdue(r.now) {
 				a.at.late++
 				if a.src != a.at && a.at.good > a.sent {
 					a.src.late++
@@ -830,20 +818,6 @@
 	}
 }
 
-// release gives back an attempt's places at the gates: when it has ended, or
-// when it is so late that its answer may be lost. Late answers are counted by
-// the gates when they come; it covers hangs and lost answers alike.
-func (r *Router) release(a *attempt) {
-	if a.placed {
-		a.placed = false
-		r.all.held--
-		a.at.held = max(a.at.held-1, 0)
-		if a.fill {
-			r.link.held--
-		}
-	}
-}
-
 func (a *attempt) overdue(now Millis) bool {
 	return a.open && now-a.sent > lateBase+lateStretch*a.expect
 }
--- a/router_test.go
+++ b/router_test.go
@@ -596,7 +596,7 @@
 		g := newRig(t, s)
 		for range 100 {
 			g.wait(200)
-			g.r.gauge(&g.r.link, 1, 1000, true, true)
+			g.r.gauge(&g.r.link, 1000, true, true)
 		}
 		if room := g.r.link.room; room > c.most {
 			t.Errorf("%d routers: each keeps room for %v fills", c.routers, room)
--- a/state.go
+++ b/state.go
@@ -52,7 +52,6 @@
 	at, src      *member
 	sent, expect Millis
 	open, trial  bool
-	placed       bool // it holds its places at the gates
 	fill         bool // it takes room on the location's link
 	called       bool // cancelled by us
 	lacked       bool // only a cache was asked, which had no copy
@@ -106,7 +105,6 @@
 	token          int64
 	retries        float64        // further attempts that may be made
 	mean           Millis         // sending time of all requests
-	all            gate           // all that is out
 	link           gate           // fills
 	pace           float64        // recent time of fills over their sending time
 	typical        [roles]float64 // sending time a warm member is given, per millisecond
