--- a/router.go
+++ b/router.go
@@ -9,7 +9,6 @@
 	"cmp"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sort"
 )
@@ -58,13 +57,12 @@
 	refuseAdvice = Millis(300)
 )
 
-// New returns a router. The seed spreads out what many routers would else do in
-// step; where they should agree, nothing is left to chance.
-func New(s Settings, seed uint64) (*Router, error) {
+// New returns a router. Nothing is left to chance so far: the seed is unused.
+func New(s Settings, _ uint64) (*Router, error) {
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	r := &Router{s: s, chance: rand.New(rand.NewPCG(seed, seed)), retries: retryBurst, link: gate{room: firstRoom}, pace: 1,
+	r := &Router{s: s, retries: retryBurst, link: gate{room: firstRoom}, pace: 1,
 		classes: map[string]*class{}, members: map[string]*member{}, open: map[string]*request{},
 		timers: map[int64]*request{}, objects: [2]map[string]*object{{}, {}},
 		purges: map[string]Millis{}, groups: map[int]Millis{}}
@@ -140,8 +138,7 @@
 		m := r.members[row.ID]
 		if m == nil || (row.State == Serving && row.ReadyAt != m.ReadyAt) {
 			old := m
-			m = &member{gate: gate{room: firstRoom}, good: r.now, backoff: firstTrial, topped: r.now,
-				tokens: -r.chance.Float64() * r.mean}
+			m = &member{gate: gate{room: firstRoom}, good: r.now, backoff: firstTrial, topped: r.now}
 			if old != nil { // outstanding attempts point to it: start anew in place
 				*old, m = *m, old
 			}
@@ -547,7 +544,7 @@
 		return true
 	}
 	r.top(m)
-	return m.tokens > 0
+	return m.tokens >= r.cost(m, q)
 }
 
 // --- cold members ---
@@ -574,9 +571,7 @@
 }
 
 // top refills a cold member's budget: this router's share of what it can bear,
-// judged by what warm ones of the kind serve it, or by stated capacity. It is
-// paid after the fact, since the share of one router among many may be less
-// than a request for long; debts that start at chance keep them out of step.
+// judged by what warm ones of the kind serve it, or by stated capacity.
 func (r *Router) top(m *member) {
 	base := r.typical[m.role]
 	if r.s.SizesCompare {
--- a/state.go
+++ b/state.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 )
 
@@ -95,7 +94,6 @@
 // Router decides for one router. It is not safe for concurrent use.
 type Router struct {
 	s              Settings
-	chance         *rand.Rand
 	now            Millis
 	started, asked bool
 	classes        map[string]*class
