--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -174,7 +174,16 @@
 			} else if _, ok := w.told[row.ID]; !ok {
 				w.told[row.ID] = w.now
 			}
-			w.feed(Members{Rows: []Member{row}})
+			rows := []Member{row}
+			if arg > 13 { // a burst: it drains, goes and is back, new, in one piece of news
+				rows = rows[:0]
+				for _, st := range []State{Draining, Removed, Serving} {
+					row.State, row.ReadyAt = st, w.now
+					rows = append(rows, row)
+				}
+				delete(w.told, row.ID)
+			}
+			w.feed(Members{Rows: rows})
 		case 9:
 			o := fmt.Sprint("o", arg%4)
 			w.purged[o] = max(w.purged[o], w.now-float64(arg))
--- a/router_test.go
+++ b/router_test.go
@@ -606,3 +606,61 @@
 		}
 	}
 }
+
+// TestListsOfAllKinds: long lists, none, one hub, a router alone and routers
+// that were not counted all leave a router that answers every request.
+func TestListsOfAllKinds(t *testing.T) {
+	var many []Member
+	for i := range 400 {
+		many = append(many, row(fmt.Sprint("e", i), fmt.Sprint("z", i%40), "box"), row(fmt.Sprint("p", i), "hub", "parent"))
+	}
+	for name, rows := range map[string][]Member{
+		"long":         append(many, row("o1", "hub", "origin")),
+		"empty":        {},
+		"no cache":     {row("p1", "hub", "parent"), row("o1", "hub", "origin")},
+		"no parent":    {row("e1", "z1", "box"), row("o1", "hub", "origin")},
+		"all draining": {{ID: "e1", Zone: "z1", Kind: "box", State: Draining}},
+	} {
+		for _, seats := range [][]int{{0, 1}, {0, 0}, nil} {
+			s := testSettings()
+			s.RoutersByZone = seats
+			g := newRig(t, s, rows...)
+			open := map[string]bool{}
+			book := func(acts []Action) {
+				for _, a := range acts {
+					switch a := a.(type) {
+					case Refuse:
+						delete(open, a.ID)
+					case Fail:
+						delete(open, a.ID)
+					}
+				}
+			}
+			var acts []Action
+			for i := range 40 {
+				id, more := g.ask("video", fmt.Sprint("o", i), i%9)
+				open[id] = true
+				acts = append(acts, more...)
+			}
+			book(acts)
+			for range 2 { // answers of every kind, then again, as lost ones that come late
+				for i, a := range sends(acts) {
+					out := Outcome{ID: a.ID, Cache: a.Cache, Result: Result(i % 9), Took: 1, Last: i%9 == 0}
+					if out.Last {
+						delete(open, a.ID)
+					}
+					book(g.do(out))
+				}
+			}
+			for _, a := range g.r.timers { // every deadline comes
+				g.now = max(g.now, a.Deadline)
+			}
+			for token := int64(1); token <= g.r.token; token++ {
+				book(g.do(Timer{Token: token}))
+			}
+			if len(open) > 0 {
+				t.Errorf("%s, seats %v: %d requests without an answer", name, seats, len(open))
+			}
+		}
+	}
+}
