--- a/router.go
+++ b/router.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"sort"
 )
@@ -38,6 +37,7 @@
 	looksNeed    = 3           // attempts that must be left to spend one on a look
 	firstRoom    = 32.0        // fills at once at first, and at least; then as many as come in within the aim
 	leastRoom    = 2.0
+	leastShared  = 4.0 // the same for all routers of a location, which may be many
 	tardyPart    = 0.6 // a fill is tardy past this part of the aim
 	tardyShare   = 0.4 // and the link too full at this share of tardy fills
 	lateCount    = 3
@@ -633,21 +633,17 @@
 	}
 	if g.tardy > tardyShare {
 		if late && r.now-g.cut > 100 {
-			g.room, g.cut = max(min(g.room, g.held+1)*0.9, leastRoom/r.s.sharers(edge)), r.now
+			g.room, g.cut = max(min(g.room, g.held+1)*0.9, min(leastRoom, leastShared/r.s.sharers(edge))), r.now
 		}
 	} else if good && g.held+2 >= g.room {
 		g.room += 1 / max(g.room, 1)
 	}
-	part := g.room - math.Floor(g.room)
-	g.next = r.now + span*(1/max(part, 0.05)-1)
+	g.next = r.now + span*max(1/max(g.room, 0.05)-1, 0)
 }
 
-// free reports whether one more transfer may start. The fraction of a room is
-// a place used that part of the time: one router of many may have less than one.
-func (g *gate) free(now Millis) bool {
-	whole := math.Floor(g.room)
-	return g.held < whole || g.held == whole && now >= g.next
-}
+// free reports whether one more transfer may start. Room for less than one is a
+// place for a part of the time.
+func (g *gate) free(now Millis) bool { return g.held < g.room && now >= g.next }
 
 // pump lets waiting requests go on, those first that earn most for their work:
 // when the link cannot serve all, the least worth waits.
--- a/router_test.go
+++ b/router_test.go
@@ -529,7 +529,7 @@
 	m.ReadyAt = g.now
 	g.do(Members{Rows: []Member{m}})
 	g.wait(500)
-	g.r.link.room, g.r.link.next = 0, 1e9
+	g.r.link.room = 0
 	for i := range 60 {
 		id, acts := g.ask("video", fmt.Sprint("c", i), i%9)
 		for _, s := range sends(acts) {
@@ -569,7 +569,7 @@
 // could still be on time.
 func TestFirstTriesGoBeforeRepeats(t *testing.T) {
 	g := newRig(t, testSettings())
-	g.r.link.room, g.r.link.next = 0, 1e9
+	g.r.link.room = 0
 	for _, retry := range []bool{true, false} {
 		id := fmt.Sprint(retry)
 		for _, s := range sends(g.do(Request{ID: id, Class: "video", Object: id, KB: 100, Retry: retry, Deadline: g.now + 6000})) {
@@ -590,7 +590,7 @@
 	for _, c := range []struct {
 		routers int
 		most    float64 // room left in a lasting shortage
-	}{{1, leastRoom}, {20, leastRoom / 20}} {
+	}{{1, leastRoom}, {2, leastRoom}, {20, leastShared / 20}} {
 		s := testSettings()
 		s.RoutersByZone = []int{0, c.routers}
 		g := newRig(t, s)
@@ -598,10 +598,10 @@
 			g.wait(200)
 			g.r.gauge(&g.r.link, 1000, true, true)
 		}
-		if room := g.r.link.room; room > c.most {
+		if room := g.r.link.room; room != c.most {
 			t.Errorf("%d routers: each keeps room for %v fills", c.routers, room)
 		}
-		if c.routers > 1 && (g.r.link.free(g.now) || !g.r.link.free(g.now+20000)) {
+		if c.most < 1 && (g.r.link.free(g.now) || !g.r.link.free(g.now+20000)) {
 			t.Error("the fraction of a place is not a part of the time")
 		}
 	}
