--- a/router.go
+++ b/router.go
@@ -633,7 +633,8 @@
 	}
 	if g.tardy > tardyShare {
 		if late && r.now-g.cut > 100 {
-			g.room, g.cut = max(min(g.room, g.held+1)*0.9, min(leastRoom, leastShared/r.s.sharers(edge))), r.now
+			least := min(leastRoom, leastShared/r.s.sharers(edge))
+			g.room, g.cut = max(min(g.room, g.held+1)*0.9, least), r.now
 		}
 	} else if good && g.held+2 >= g.room {
 		g.room += 1 / max(g.room, 1)
