--- a/router.go
+++ b/router.go
@@ -257,10 +257,8 @@
 		}
 		slices.Sort(next.splits)
 	}
-	moved := !slices.Equal(next.edges, r.layout.edges) || !slices.Equal(next.splits, r.layout.splits)
-	// copies placed by the hash are more than those of a small move after it
-	hashed := r.layout.ranged && !r.prior.ranged && r.now-r.moved < movedSpan
-	if (moved || next.ranged != r.layout.ranged) && !hashed {
+	if !slices.Equal(next.edges, r.layout.edges) || !slices.Equal(next.splits, r.layout.splits) ||
+		next.ranged != r.layout.ranged {
 		r.prior, r.moved = r.layout, r.now
 	}
 	r.layout = next
