--- /dev/null
+++ b/internal/fillwire/fillwire.go
@@ -0,0 +1,495 @@
+// Package fillwire says how an attempt and its outcome stand in HTTP: the
+// request field Spool-Fill and the response fields Cache-Status (RFC 9211),
+// Spool-Copy and Spool-Load, all of them structured fields (RFC 9651). Routers
+// and caches both use it; docs/protocol.md is its definition in prose.
+//
+// It holds no state and decides nothing: it only says which Result and Note of
+// the decision module a response amounts to. What the router does for each
+// attempt is written here without allocation, and tested against
+// github.com/dunglas/httpsfv; what only caches need uses that library.
+package fillwire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/dunglas/httpsfv"
+
+	spool "indigospool"
+	"indigospool/internal/http1"
+)
+
+// The fields of the protocol.
+const (
+	FillField   = "Spool-Fill"
+	CopyField   = "Spool-Copy"
+	LoadField   = "Spool-Load"
+	StatusField = "Cache-Status"
+	KeyField    = "Idempotency-Key"
+)
+
+// Attempt is what a router asks of a cache, parent or origin, beside the
+// request itself.
+type Attempt struct {
+	ID     string // the router's name of the request
+	Number int    // of the attempt, from 0
+	From   string // the router's name
+	Class  string
+	Object string // what a purge names; all parts of an object share it
+	Group  int    // group of the object, for purges; -1: none
+	Source string // member to fill from; empty: a look, answered from its own copy or not at all
+	At     string // address of the source
+	Keep   int    // rank of the copy, 1 to 3; 0: pass through
+	Age    float64
+	Left   float64 // time that the asker waits, ms; 0: not told
+	Join   bool    // may join a fill under way
+	Held   bool    // the source gives only what it holds
+	Renew  bool    // renew an ageing copy behind the answer
+}
+
+// FromSend is the attempt that an action of the module asks for. Where a copy's
+// own cache is named as its source, there is no fill.
+func FromSend(s *spool.Send, q *spool.Request, number int, from, address string, left float64) Attempt {
+	a := Attempt{ID: s.ID, Number: number, From: from, Class: q.Class, Object: q.Object, Group: q.Group,
+		Keep: s.Keep, Age: s.Age, Left: left, Join: s.Join, Held: s.Held, Renew: s.Renew}
+	if s.Source != s.Cache {
+		a.Source, a.At = s.Source, address
+	}
+	return a
+}
+
+// Append appends the value of Spool-Fill, a Dictionary.
+func (a *Attempt) Append(dst []byte) []byte {
+	dst = appendString(append(dst, "id="...), a.ID)
+	dst = strconv.AppendInt(append(dst, ", n="...), int64(a.Number), 10)
+	dst = appendString(append(dst, ", from="...), a.From)
+	dst = appendString(append(dst, ", class="...), a.Class)
+	dst = appendString(append(dst, ", obj="...), a.Object)
+	if a.Group >= 0 {
+		dst = strconv.AppendInt(append(dst, ", group="...), int64(a.Group), 10)
+	}
+	if a.Source != "" {
+		dst = appendString(append(dst, ", src="...), a.Source)
+		dst = appendString(append(dst, ", at="...), a.At)
+	}
+	dst = strconv.AppendInt(append(dst, ", keep="...), int64(a.Keep), 10)
+	if a.Age > 0 {
+		dst = appendDecimal(append(dst, ", age="...), a.Age)
+	}
+	if a.Left > 0 {
+		dst = appendDecimal(append(dst, ", left="...), a.Left)
+	}
+	if a.Join {
+		dst = append(dst, ", join"...)
+	}
+	if a.Held {
+		dst = append(dst, ", held"...)
+	}
+	if a.Renew {
+		dst = append(dst, ", renew"...)
+	}
+	return dst
+}
+
+// appendString writes an sf-string; what cannot stand in one is replaced by '?'.
+func appendString(dst []byte, s string) []byte {
+	dst = append(dst, '"')
+	for i := 0; i < len(s); i++ {
+		switch c := s[i]; {
+		case c == '"' || c == '\\':
+			dst = append(dst, '\\', c)
+		case c < ' ' || c >= 0x7f:
+			dst = append(dst, '?')
+		default:
+			dst = append(dst, c)
+		}
+	}
+	return append(dst, '"')
+}
+
+// appendDecimal writes an sf-decimal: at most 12 digits, a point, 1 to 3 digits.
+func appendDecimal(dst []byte, v float64) []byte {
+	const most = 999_999_999_999
+	if !(v > -most && v < most) {
+		v = min(max(v, -most), most)
+	}
+	start := len(dst)
+	dst = strconv.AppendFloat(dst, v, 'f', 3, 64)
+	for len(dst)-start > 3 && dst[len(dst)-1] == '0' && dst[len(dst)-2] != '.' {
+		dst = dst[:len(dst)-1]
+	}
+	return dst
+}
+
+// ParseAttempt reads the value of Spool-Fill, as a cache does.
+func ParseAttempt(values []string) (Attempt, error) {
+	a := Attempt{Group: -1}
+	d, err := httpsfv.UnmarshalDictionary(values)
+	if err != nil {
+		return a, fmt.Errorf("fillwire: %s %q: %w", FillField, values, err)
+	}
+	for _, name := range d.Names() {
+		m, _ := d.Get(name)
+		item, ok := m.(httpsfv.Item)
+		if !ok {
+			return a, fmt.Errorf("fillwire: %s: member %s is a list; an item is wanted", FillField, name)
+		}
+		switch name {
+		case "id":
+			err = set(&a.ID, item)
+		case "n":
+			err = setInt(&a.Number, item)
+		case "from":
+			err = set(&a.From, item)
+		case "class":
+			err = set(&a.Class, item)
+		case "obj":
+			err = set(&a.Object, item)
+		case "group":
+			err = setInt(&a.Group, item)
+		case "src":
+			err = set(&a.Source, item)
+		case "at":
+			err = set(&a.At, item)
+		case "keep":
+			err = setInt(&a.Keep, item)
+		case "age":
+			err = setNumber(&a.Age, item)
+		case "left":
+			err = setNumber(&a.Left, item)
+		case "join":
+			err = set(&a.Join, item)
+		case "held":
+			err = set(&a.Held, item)
+		case "renew":
+			err = set(&a.Renew, item)
+		} // others are for later versions: ignored
+		if err != nil {
+			return a, fmt.Errorf("fillwire: %s: member %s: %w", FillField, name, err)
+		}
+	}
+	switch {
+	case a.ID == "":
+		err = errors.New("fillwire: Spool-Fill names no id")
+	case a.Source != "" && a.At == "":
+		err = fmt.Errorf("fillwire: Spool-Fill names the source %q without its address (at)", a.Source)
+	case a.Keep < 0 || a.Keep > 3:
+		err = fmt.Errorf("fillwire: Spool-Fill: keep is %d; 0 to 3 are known", a.Keep)
+	case a.Age < 0 || a.Left < 0:
+		err = errors.New("fillwire: Spool-Fill: a span is negative")
+	}
+	return a, err
+}
+
+func set[T any](to *T, item httpsfv.Item) error {
+	v, ok := item.Value.(T)
+	if !ok {
+		return fmt.Errorf("value %v is of another type", item.Value)
+	}
+	*to = v
+	return nil
+}
+
+func setInt(to *int, item httpsfv.Item) error {
+	v, ok := item.Value.(int64)
+	if !ok || v < -1<<31 || v >= 1<<31 {
+		return fmt.Errorf("value %v is no whole number of 32 bits", item.Value)
+	}
+	*to = int(v)
+	return nil
+}
+
+func setNumber(to *float64, item httpsfv.Item) error {
+	switch v := item.Value.(type) {
+	case int64:
+		*to = float64(v)
+	case float64:
+		*to = v
+	default:
+		return fmt.Errorf("value %v is no number", item.Value)
+	}
+	return nil
+}
+
+// Details that a cache states in Cache-Status when it could not fill.
+const (
+	SourceRefused   = "source-refused"
+	SourceUnreached = "source-unreached"
+	SourceLacks     = "source-lacks"
+	NoPlace         = "no-place"
+	OriginFailed    = "origin-failed"
+)
+
+var noteOf = map[string]spool.Note{
+	SourceRefused: spool.NoteSourceRefused, SourceUnreached: spool.NoteSourceUnreached,
+	SourceLacks: spool.NoteSourceLacks, NoPlace: spool.NoteNoPlace, OriginFailed: spool.NoteOriginFailed,
+}
+
+// Handled is what a cache says of how it handled an attempt: one member of
+// Cache-Status.
+type Handled struct {
+	Cache  string
+	Hit    bool
+	TTL    float64 // seconds; below 0: past its fresh time. Told only of hits with HasTTL
+	HasTTL bool
+	Fwd    string // why it went on: "miss", "stale", "bypass"
+	Stored bool
+	Joined bool   // RFC 9211: collapsed
+	Detail string // one of the details above
+}
+
+// String is the list member.
+func (h Handled) String() string {
+	p := httpsfv.NewParams()
+	if h.Hit {
+		p.Add("hit", true)
+		if h.HasTTL {
+			p.Add("ttl", int64(h.TTL))
+		}
+	} else if h.Fwd != "" {
+		p.Add("fwd", httpsfv.Token(h.Fwd))
+	}
+	if h.Stored {
+		p.Add("stored", true)
+	}
+	if h.Joined {
+		p.Add("collapsed", true)
+	}
+	if h.Detail != "" {
+		p.Add("detail", httpsfv.Token(h.Detail))
+	}
+	s, err := httpsfv.Marshal(httpsfv.List{httpsfv.Item{Value: h.Cache, Params: p}})
+	if err != nil {
+		return `"?"`
+	}
+	return s
+}
+
+// status is what a router reads of one Cache-Status member.
+type status struct {
+	hit, fwd, stale, joined bool
+	detail                  []byte
+}
+
+// scanStatus reads the last member, which the nearest cache added, and whether
+// one before it was forwarded by a miss. It reads loosely: what is not
+// understood counts as not said.
+func scanStatus(v []byte) (last status, behind bool) {
+	for len(v) > 0 {
+		end, quoted := len(v), false
+		for i := 0; i < len(v); i++ {
+			if c := v[i]; quoted {
+				if c == '\\' {
+					i++
+				} else if c == '"' {
+					quoted = false
+				}
+			} else if c == '"' {
+				quoted = true
+			} else if c == ',' {
+				end = i
+				break
+			}
+		}
+		m := v[:end]
+		v = v[min(end+1, len(v)):]
+		behind = behind || last.fwd
+		last = scanMember(m)
+	}
+	return last, behind
+}
+
+func scanMember(m []byte) (s status) {
+	first := true
+	for len(m) > 0 {
+		end, quoted := len(m), false
+		for i := 0; i < len(m); i++ {
+			if c := m[i]; quoted {
+				if c == '\\' {
+					i++
+				} else if c == '"' {
+					quoted = false
+				}
+			} else if c == '"' {
+				quoted = true
+			} else if c == ';' {
+				end = i
+				break
+			}
+		}
+		p := bytes.TrimSpace(m[:end])
+		m = m[min(end+1, len(m)):]
+		if first {
+			first = false
+			continue
+		}
+		name, value, _ := bytes.Cut(p, equals)
+		switch string(name) {
+		case "hit":
+			s.hit = string(value) != "?0"
+		case "fwd":
+			s.fwd = true
+		case "collapsed":
+			s.joined = string(value) != "?0"
+		case "ttl":
+			s.stale = len(value) > 0 && value[0] == '-'
+		case "detail":
+			s.detail = bytes.Trim(value, `"`)
+		}
+	}
+	return s
+}
+
+var equals = []byte("=")
+
+// Judge says which result and note a response amounts to. looked tells that
+// only a copy was asked for; write that the request runs at the origin.
+//
+// 504 to a look is a miss (RFC 9111, section 5.2.1.7); 503 was turned away
+// before anything ran; other 5xx are faults. All else is the object's answer,
+// also where that is 404.
+func Judge(h *http1.Head, looked, write bool) (spool.Result, spool.Note) {
+	s, behind := scanStatus(h.Get("cache-status"))
+	note := spool.NoteNone
+	switch {
+	case s.detail != nil:
+		note = noteOf[string(s.detail)]
+	case s.hit && s.stale:
+		note = spool.NoteStale
+	case s.hit:
+		note = spool.NoteHit
+	case s.joined:
+		note = spool.NoteJoined
+	case s.fwd && behind:
+		note = spool.NoteFilledByOrigin
+	case s.fwd:
+		note = spool.NoteFilled
+	}
+	switch {
+	case h.Status == 504 && looked:
+		if note != spool.NoteJoined {
+			note = spool.NoteNone
+		}
+		return spool.Miss, note
+	case h.Status == 503:
+		return spool.Full, note
+	case h.Status >= 500:
+		return spool.Errored, note
+	}
+	return spool.OK, note
+}
+
+// Version is what Spool-Copy says of an answer's copy.
+type Version struct {
+	V   int64   // the origin's version of the object
+	Age float64 // ms since the origin gave it, at the time of the answer
+}
+
+// String is the value of Spool-Copy.
+func (v Version) String() string {
+	b := strconv.AppendInt([]byte("v="), v.V, 10)
+	return string(appendDecimal(append(b, ", age="...), v.Age))
+}
+
+// ParseVersion reads Spool-Copy.
+func ParseVersion(value string) (v Version, err error) {
+	d, err := httpsfv.UnmarshalDictionary([]string{value})
+	if err != nil {
+		return v, fmt.Errorf("fillwire: %s %q: %w", CopyField, value, err)
+	}
+	for _, name := range d.Names() {
+		if item, ok := d.Get(name); ok {
+			item, ok := item.(httpsfv.Item)
+			switch {
+			case ok && name == "v":
+				err = set(&v.V, item)
+			case ok && name == "age":
+				err = setNumber(&v.Age, item)
+			}
+			if err != nil {
+				return v, fmt.Errorf("fillwire: %s: member %s: %w", CopyField, name, err)
+			}
+		}
+	}
+	return v, nil
+}
+
+// FormatLoad writes a load report, a List of decimals.
+func FormatLoad(load []float64) string {
+	var b []byte
+	for i, v := range load {
+		if i > 0 {
+			b = append(b, ", "...)
+		}
+		b = appendDecimal(b, v)
+	}
+	return string(b)
+}
+
+// ParseLoad reads a load report into dst. A malformed report counts as none.
+func ParseLoad(dst []float64, value []byte) []float64 {
+	dst = dst[:0]
+	for len(value) > 0 {
+		m := value
+		if i := bytes.IndexByte(value, ','); i >= 0 {
+			m, value = value[:i], value[i+1:]
+		} else {
+			value = nil
+		}
+		v, ok := decimal(bytes.TrimSpace(m))
+		if !ok {
+			return dst[:0]
+		}
+		dst = append(dst, v)
+	}
+	return dst
+}
+
+// decimal reads an sf-integer or sf-decimal.
+func decimal(b []byte) (v float64, ok bool) {
+	neg := len(b) > 0 && b[0] == '-'
+	if neg {
+		b = b[1:]
+	}
+	scale, digits := 0.0, 0
+	for i, c := range b {
+		switch {
+		case c >= '0' && c <= '9':
+			if digits++; digits > 15 {
+				return 0, false
+			}
+			if v = v*10 + float64(c-'0'); scale > 0 {
+				scale *= 10
+			}
+		case c == '.' && scale == 0 && i > 0 && i < len(b)-1:
+			scale = 1
+		default:
+			return 0, false
+		}
+	}
+	if digits == 0 {
+		return 0, false
+	}
+	if scale > 1 {
+		v /= scale
+	}
+	if neg {
+		v = -v
+	}
+	return v, true
+}
+
+// OnlyIfCached reports whether a Cache-Control value asks for a held copy only.
+func OnlyIfCached(values []string) bool {
+	for _, v := range values {
+		for _, d := range strings.Split(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(d), "only-if-cached") {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fillwire/fillwire_test.go
@@ -0,0 +1,154 @@
+package fillwire
+
+import (
+	"math"
+	"testing"
+
+	"github.com/dunglas/httpsfv"
+	"pgregory.net/rapid"
+
+	spool "indigospool"
+	"indigospool/internal/http1"
+)
+
+// What the router writes by hand is what the library reads.
+func TestAttemptRoundTrip(t *testing.T) {
+	text := rapid.StringMatching(`[ -~]{1,20}`)
+	span := rapid.Custom(func(t *rapid.T) float64 {
+		return float64(rapid.Int64Range(0, 1e12).Draw(t, "span")) / 1000
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		want := Attempt{ID: text.Draw(t, "id"), Number: rapid.IntRange(0, 9).Draw(t, "n"),
+			From: text.Draw(t, "from"), Class: text.Draw(t, "class"), Object: text.Draw(t, "obj"),
+			Group: rapid.IntRange(-1, 99).Draw(t, "group"), Keep: rapid.IntRange(0, 3).Draw(t, "keep"),
+			Age: span.Draw(t, "age"), Left: span.Draw(t, "left"), Join: rapid.Bool().Draw(t, "join"),
+			Held: rapid.Bool().Draw(t, "held"), Renew: rapid.Bool().Draw(t, "renew")}
+		if rapid.Bool().Draw(t, "fill") {
+			want.Source, want.At = text.Draw(t, "src"), text.Draw(t, "at")
+		}
+		value := string(want.Append(nil))
+		got, err := ParseAttempt([]string{value})
+		if err != nil {
+			t.Fatalf("%q: %v", value, err)
+		}
+		if math.Abs(got.Age-want.Age) > 0.001 || math.Abs(got.Left-want.Left) > 0.001 {
+			t.Fatalf("spans %v, %v came back as %v, %v", want.Age, want.Left, got.Age, got.Left)
+		}
+		got.Age, got.Left = want.Age, want.Left
+		if got != want {
+			t.Fatalf("%q:\n got %+v\nwant %+v", value, got, want)
+		}
+	})
+}
+
+func TestAttemptFaults(t *testing.T) {
+	for _, v := range []string{
+		"", "n=1", `id="a", src="p"`, `id="a", keep=4`, `id="a", age=-1.0`, `id=7`, `id="a", n="x"`,
+		`id="a", join=1`, `id="a`, `id=("a" "b")`, `id="a", n=99999999999`,
+	} {
+		if a, err := ParseAttempt([]string{v}); err == nil {
+			t.Errorf("%q was taken as %+v", v, a)
+		}
+	}
+	if _, err := ParseAttempt([]string{`id="a", later="x"`}); err != nil {
+		t.Errorf("a member of a later version: %v", err)
+	}
+}
+
+func TestJudge(t *testing.T) {
+	for _, c := range []struct {
+		status   int
+		cs       string
+		look, wr bool
+		result   spool.Result
+		note     spool.Note
+	}{
+		{200, `"b"; hit`, true, false, spool.OK, spool.NoteHit},
+		{200, `"b"; hit; ttl=5`, true, false, spool.OK, spool.NoteHit},
+		{200, `"b"; hit; ttl=-3`, true, false, spool.OK, spool.NoteStale},
+		{200, `"p"; hit, "b"; fwd=miss; stored`, false, false, spool.OK, spool.NoteFilled},
+		{200, `"p"; fwd=miss, "b"; fwd=miss`, false, false, spool.OK, spool.NoteFilledByOrigin},
+		{200, `"b"; fwd=miss; collapsed`, false, false, spool.OK, spool.NoteJoined},
+		{200, `"a,b;c\"d"; hit`, false, false, spool.OK, spool.NoteHit},
+		{504, `"b"; fwd=miss`, true, false, spool.Miss, spool.NoteNone},
+		{504, `"b"; fwd=miss`, false, false, spool.Errored, spool.NoteFilled},
+		{503, `"b"; fwd=miss; detail=no-place`, false, false, spool.Full, spool.NoteNoPlace},
+		{503, `"b"; fwd=miss; detail=source-refused`, false, false, spool.Full, spool.NoteSourceRefused},
+		{503, ``, false, false, spool.Full, spool.NoteNone},
+		{500, ``, false, false, spool.Errored, spool.NoteNone},
+		{404, ``, false, false, spool.OK, spool.NoteNone},
+		{200, `;;;"`, false, false, spool.OK, spool.NoteNone},
+	} {
+		h := &http1.Head{Status: c.status, Fields: []http1.Field{{Name: []byte("Cache-Status"), Value: []byte(c.cs)}}}
+		if r, n := Judge(h, c.look, c.wr); r != c.result || n != c.note {
+			t.Errorf("%d %s: result %v, note %v, want %v, %v", c.status, c.cs, r, n, c.result, c.note)
+		}
+	}
+}
+
+// Whatever a cache writes about itself with the library, the hand-written
+// reader finds in it.
+func TestHandledIsRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := Handled{Cache: rapid.StringMatching(`[ -~]{1,12}`).Draw(t, "name"), Hit: rapid.Bool().Draw(t, "hit"),
+			HasTTL: true, TTL: float64(rapid.IntRange(-9, 9).Draw(t, "ttl")), Joined: rapid.Bool().Draw(t, "joined")}
+		if !h.Hit {
+			h.Fwd = "miss"
+			h.Detail = rapid.SampledFrom([]string{"", SourceRefused, NoPlace}).Draw(t, "detail")
+		}
+		value := h.String()
+		if _, err := httpsfv.UnmarshalList([]string{value}); err != nil {
+			t.Fatal(err)
+		}
+		s, _ := scanStatus([]byte(`"p"; fwd=miss, ` + value))
+		if s.hit != h.Hit || s.fwd != (h.Fwd != "") || s.joined != h.Joined || string(s.detail) != h.Detail ||
+			h.Hit && s.stale != (h.TTL < 0) {
+			t.Fatalf("%s read as %+v", value, s)
+		}
+	})
+}
+
+func TestLoad(t *testing.T) {
+	got := ParseLoad(nil, []byte(FormatLoad([]float64{3, 0.25, -1.5, 1234.567})))
+	for i, want := range []float64{3, 0.25, -1.5, 1234.567} {
+		if len(got) != 4 || math.Abs(got[i]-want) > 1e-9 {
+			t.Fatalf("got %v", got)
+		}
+	}
+	for _, bad := range []string{"x", "1,,2", "1.", ".5", "1e3", "--1", "1 2"} {
+		if got := ParseLoad(nil, []byte(bad)); len(got) > 0 {
+			t.Errorf("%q read as %v", bad, got)
+		}
+	}
+}
+
+func TestVersion(t *testing.T) {
+	v, err := ParseVersion(Version{V: 12, Age: 345.5}.String())
+	if err != nil || v.V != 12 || v.Age != 345.5 {
+		t.Fatalf("%+v, %v", v, err)
+	}
+}
+
+func TestNoAllocation(t *testing.T) {
+	a := Attempt{ID: "r1-7", From: "r1", Class: "video", Object: "/v/7/a", Group: 7, Keep: 1, Age: 1e9, Left: 400}
+	h := &http1.Head{Status: 200, Fields: []http1.Field{{Name: []byte("Cache-Status"), Value: []byte(`"b"; hit; ttl=4`)}}}
+	buf, load := make([]byte, 0, 512), make([]float64, 0, 4)
+	if n := testing.AllocsPerRun(100, func() {
+		buf = a.Append(buf[:0])
+		Judge(h, true, false)
+		load = ParseLoad(load, []byte("3, 0.5"))
+	}); n > 0 {
+		t.Errorf("%v allocations an attempt", n)
+	}
+}
+
+// FuzzStatus: nonsense of a cache is a note of none, never a crash.
+func FuzzStatus(f *testing.F) {
+	f.Add(`"p"; fwd=miss, "b"; hit; ttl=-1; detail="x"`)
+	f.Fuzz(func(t *testing.T, v string) {
+		h := &http1.Head{Status: 200, Fields: []http1.Field{{Name: []byte("Cache-Status"), Value: []byte(v)}}}
+		Judge(h, true, false)
+		ParseLoad(nil, []byte(v))
+		ParseAttempt([]string{v})
+	})
+}
--- /dev/null
+++ b/internal/http1/head.go
@@ -0,0 +1,575 @@
+// Package http1 parses and writes HTTP/1.1 messages incrementally: bytes in,
+// heads and body parts out. It does no I/O, keeps no clock and allocates
+// nothing on the ordinary path; what it hands out are slices of the caller's
+// buffer.
+//
+// It is strict where RFC 9112 leaves a choice, because an intermediary that
+// reads a message otherwise than its neighbour can be made to smuggle one
+// (sections 6.3 and 11.2): no bare LF or CR, no white space before a colon, no
+// folded lines, no two different lengths, no length beside chunked, no coding
+// but a single final chunked. Every fault carries the status that a server
+// answers with. Connections are in internal/edge.
+package http1
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// Limits bound what one message may take. Zero fields mean the defaults.
+type Limits struct {
+	Line   int // request or status line, bytes; default 8192
+	Head   int // whole head, bytes; default 32768
+	Fields int // field lines; default 100
+}
+
+func (l Limits) filled() Limits {
+	if l.Line <= 0 {
+		l.Line = 8192
+	}
+	if l.Head <= 0 {
+		l.Head = 32768
+	}
+	if l.Fields <= 0 {
+		l.Fields = 100
+	}
+	return l
+}
+
+// A Fault is a message that is not valid or not served.
+type Fault struct {
+	Status int    // the status that a server answers with (RFC 9110, section 15)
+	What   string // the offending thing
+}
+
+func (f *Fault) Error() string { return fmt.Sprintf("http1: %s (status %d)", f.What, f.Status) }
+
+// The faults. They are values, so that the parser allocates nothing.
+var (
+	ErrRequestLine    = &Fault{400, "malformed request line"}
+	ErrMethod         = &Fault{400, "method is not a token"}
+	ErrMethodLong     = &Fault{501, "method longer than any known"}
+	ErrTarget         = &Fault{400, "malformed request target"}
+	ErrTargetLong     = &Fault{414, "request line longer than the limit"}
+	ErrVersion        = &Fault{505, "version is not HTTP/1.0 or HTTP/1.1"}
+	ErrVersionForm    = &Fault{400, "malformed version"}
+	ErrStatusLine     = &Fault{502, "malformed status line"}
+	ErrFieldName      = &Fault{400, "field name is not a token, or white space stands before its colon"}
+	ErrFieldValue     = &Fault{400, "control character in a field value"}
+	ErrFold           = &Fault{400, "folded field line"}
+	ErrBareLF         = &Fault{400, "line ended by a bare LF or broken by a bare CR"}
+	ErrHeadLong       = &Fault{431, "head longer than the limit"}
+	ErrFields         = &Fault{431, "more field lines than the limit"}
+	ErrNoHost         = &Fault{400, "no Host, or more than one"}
+	ErrHost           = &Fault{400, "malformed Host"}
+	ErrLength         = &Fault{400, "malformed Content-Length"}
+	ErrLengths        = &Fault{400, "Content-Lengths that differ"}
+	ErrLengthAndCoded = &Fault{400, "both Content-Length and Transfer-Encoding"}
+	ErrCoding         = &Fault{501, "transfer coding other than chunked"}
+	ErrCodingOrder    = &Fault{400, "chunked is not the single, final transfer coding"}
+	ErrCodingOld      = &Fault{400, "Transfer-Encoding in an HTTP/1.0 message"}
+	ErrExpect         = &Fault{417, "expectation other than 100-continue"}
+	ErrUpgradeStatus  = &Fault{502, "switched protocols unasked"}
+	ErrChunkSize      = &Fault{400, "malformed chunk size"}
+	ErrChunkLong      = &Fault{400, "chunk line longer than the limit"}
+	ErrChunkEnd       = &Fault{400, "chunk data not followed by CRLF"}
+	ErrTrailer        = &Fault{400, "malformed trailer"}
+	ErrBodyLong       = &Fault{413, "body longer than the limit"}
+)
+
+// Field is one field line. Both parts are slices of the parsed buffer.
+type Field struct{ Name, Value []byte }
+
+// BodyKind is how the end of a body is found (RFC 9112, section 6.3).
+type BodyKind uint8
+
+// The kinds.
+const (
+	NoBody BodyKind = iota
+	Length
+	Chunked
+	UntilClose // responses only
+)
+
+// Head is a parsed message head. Its slices alias the buffer given to the
+// parser and hold only as long as that stays as it was.
+type Head struct {
+	Method, Target []byte // requests
+	Status         int    // responses
+	Reason         []byte
+	Minor          int // HTTP/1.Minor
+	Fields         []Field
+
+	Body          BodyKind
+	ContentLength int64 // of Length; for responses to HEAD what was stated, or -1
+	Close         bool  // the connection does not persist after this message
+	Expect100     bool  // the client waits for 100 (Continue)
+	Host          []byte
+}
+
+// Reset makes the head ready for the next message and keeps its memory.
+func (h *Head) Reset() {
+	fields := h.Fields[:0]
+	*h = Head{Fields: fields, ContentLength: -1}
+}
+
+// Get returns the first value of a field, nil where there is none. The name is
+// given in lower case.
+func (h *Head) Get(lower string) []byte {
+	for i := range h.Fields {
+		if EqualFold(h.Fields[i].Name, lower) {
+			return h.Fields[i].Value
+		}
+	}
+	return nil
+}
+
+// Has reports whether a field is present.
+func (h *Head) Has(lower string) bool {
+	for i := range h.Fields {
+		if EqualFold(h.Fields[i].Name, lower) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsHead reports whether the request's method is HEAD.
+func (h *Head) IsHead() bool { return string(h.Method) == "HEAD" }
+
+// EqualFold compares ASCII text with a word in lower case.
+func EqualFold(b []byte, lower string) bool {
+	if len(b) != len(lower) {
+		return false
+	}
+	for i := 0; i < len(b); i++ {
+		c := b[i]
+		if 'A' <= c && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		if c != lower[i] {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	tokenChar = 1 << iota
+	targetChar
+	valueChar
+	hostChar
+)
+
+var chars = func() (t [256]uint8) {
+	for c := 0; c < 256; c++ {
+		switch {
+		case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z',
+			bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), byte(c)) >= 0:
+			t[c] |= tokenChar
+		}
+		if c > ' ' && c < 0x7f {
+			t[c] |= targetChar
+		}
+		if c == '\t' || c >= ' ' && c != 0x7f {
+			t[c] |= valueChar
+		}
+		if c > ' ' && c < 0x7f && bytes.IndexByte([]byte("/?#@\\\"<>^`{|}"), byte(c)) < 0 {
+			t[c] |= hostChar
+		}
+	}
+	return t
+}()
+
+func all(b []byte, kind uint8) bool {
+	for _, c := range b {
+		if chars[c]&kind == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Token reports whether b is a token (RFC 9110, section 5.6.2).
+func Token(b []byte) bool { return len(b) > 0 && all(b, tokenChar) }
+
+// line takes the line that starts at b[from:]. It returns the line without its
+// CRLF and the index past it; 0 when the end has not come yet.
+func line(b []byte, from int) ([]byte, int, error) {
+	i := bytes.IndexByte(b[from:], '\n')
+	if i < 0 {
+		// a CR that anything but LF follows is a fault now, not when the LF comes
+		if k := bytes.IndexByte(b[from:], '\r'); k >= 0 && from+k+1 < len(b) {
+			return nil, 0, ErrBareLF
+		}
+		return nil, 0, nil
+	}
+	if i == 0 || b[from+i-1] != '\r' {
+		return nil, 0, ErrBareLF
+	}
+	l := b[from : from+i-1]
+	if bytes.IndexByte(l, '\r') >= 0 {
+		return nil, 0, ErrBareLF
+	}
+	return l, from + i + 1, nil
+}
+
+// ParseRequest reads a request head from the start of buf. It returns the
+// head's length in bytes, or 0 when more bytes are needed. Empty lines before
+// the request line are skipped (RFC 9112, section 2.2).
+func ParseRequest(buf []byte, h *Head, lim Limits) (int, error) {
+	lim = lim.filled()
+	h.Reset()
+	start := 0
+	for start+1 < len(buf) && buf[start] == '\r' && buf[start+1] == '\n' {
+		if start += 2; start > 16 {
+			return 0, ErrRequestLine
+		}
+	}
+	first, at, err := line(buf, start)
+	switch {
+	case err != nil:
+		return 0, err
+	case at == 0 && len(buf)-start > lim.Line, at-start > lim.Line+2:
+		return 0, ErrTargetLong
+	case at == 0:
+		return 0, nil
+	}
+	if err := h.requestLine(first); err != nil {
+		return 0, err
+	}
+	n, err := h.fields(buf, start, at, lim)
+	if n == 0 || err != nil {
+		return 0, err
+	}
+	return n, h.frameRequest()
+}
+
+func (h *Head) requestLine(l []byte) error {
+	i := bytes.IndexByte(l, ' ')
+	if i <= 0 {
+		return ErrRequestLine
+	}
+	j := bytes.LastIndexByte(l, ' ')
+	if j <= i+1 && j != i || j == i {
+		return ErrRequestLine
+	}
+	h.Method, h.Target = l[:i], l[i+1:j]
+	if !Token(h.Method) {
+		return ErrMethod
+	}
+	if len(h.Method) > 20 {
+		return ErrMethodLong
+	}
+	if len(h.Target) == 0 || !all(h.Target, targetChar) {
+		return ErrTarget
+	}
+	var err error
+	h.Minor, err = version(l[j+1:])
+	return err
+}
+
+func version(v []byte) (int, error) {
+	if len(v) != 8 || string(v[:5]) != "HTTP/" || v[6] != '.' || !digit(v[5]) || !digit(v[7]) {
+		return 0, ErrVersionForm
+	}
+	if v[5] != '1' || v[7] > '1' {
+		return 0, ErrVersion
+	}
+	return int(v[7] - '0'), nil
+}
+
+func digit(c byte) bool { return c >= '0' && c <= '9' }
+
+// ParseResponse reads a response head, as ParseRequest does. Whether there is a
+// body depends on the request, so its method is told.
+func ParseResponse(buf []byte, h *Head, lim Limits, toHead bool) (int, error) {
+	lim = lim.filled()
+	h.Reset()
+	first, at, err := line(buf, 0)
+	switch {
+	case err != nil:
+		return 0, err
+	case at == 0 && len(buf) > lim.Line, at > lim.Line+2:
+		return 0, ErrHeadLong
+	case at == 0:
+		// a peer that speaks no HTTP is told apart by its first bytes
+		if k := min(len(buf), 7); string(buf[:k]) != "HTTP/1."[:k] {
+			return 0, ErrStatusLine
+		}
+		return 0, nil
+	}
+	if len(first) < 12 || first[8] != ' ' || !digit(first[9]) || !digit(first[10]) || !digit(first[11]) ||
+		len(first) > 12 && first[12] != ' ' {
+		return 0, ErrStatusLine
+	}
+	if h.Minor, err = version(first[:8]); err != nil {
+		return 0, ErrStatusLine
+	}
+	h.Status = int(first[9]-'0')*100 + int(first[10]-'0')*10 + int(first[11]-'0')
+	if h.Status < 100 || h.Status > 599 {
+		return 0, ErrStatusLine
+	}
+	if len(first) > 13 {
+		if h.Reason = first[13:]; !all(h.Reason, valueChar) {
+			return 0, ErrStatusLine
+		}
+	}
+	n, err := h.fields(buf, 0, at, lim)
+	if n == 0 || err != nil {
+		return 0, err
+	}
+	return n, h.frameResponse(toHead)
+}
+
+// fields reads field lines up to the empty one.
+func (h *Head) fields(buf []byte, start, at int, lim Limits) (int, error) {
+	for {
+		if at-start > lim.Head {
+			return 0, ErrHeadLong
+		}
+		l, next, err := line(buf, at)
+		if err != nil {
+			return 0, err
+		}
+		if next == 0 {
+			if len(buf)-start > lim.Head {
+				return 0, ErrHeadLong
+			}
+			return 0, nil
+		}
+		if len(l) == 0 {
+			return next, nil
+		}
+		if len(h.Fields) >= lim.Fields {
+			return 0, ErrFields
+		}
+		f, err := fieldLine(l)
+		if err != nil {
+			return 0, err
+		}
+		h.Fields = append(h.Fields, f)
+		at = next
+	}
+}
+
+func fieldLine(l []byte) (Field, error) {
+	if l[0] == ' ' || l[0] == '\t' {
+		return Field{}, ErrFold
+	}
+	i := bytes.IndexByte(l, ':')
+	if i <= 0 || !all(l[:i], tokenChar) {
+		return Field{}, ErrFieldName
+	}
+	v := trim(l[i+1:])
+	if !all(v, valueChar) {
+		return Field{}, ErrFieldValue
+	}
+	return Field{Name: l[:i], Value: v}, nil
+}
+
+func trim(b []byte) []byte {
+	for len(b) > 0 && (b[0] == ' ' || b[0] == '\t') {
+		b = b[1:]
+	}
+	for len(b) > 0 && (b[len(b)-1] == ' ' || b[len(b)-1] == '\t') {
+		b = b[:len(b)-1]
+	}
+	return b
+}
+
+// frame reads the fields that both kinds of message share.
+func (h *Head) frame() (coded bool, err error) {
+	lengths, codings, hosts := 0, 0, 0
+	alive, closed := false, false
+	for i := range h.Fields {
+		f := &h.Fields[i]
+		switch len(f.Name) {
+		case 4:
+			if EqualFold(f.Name, "host") {
+				hosts++
+				h.Host = f.Value
+			}
+		case 6:
+			if EqualFold(f.Name, "expect") {
+				if !EqualFold(f.Value, "100-continue") {
+					return false, ErrExpect
+				}
+				h.Expect100 = h.Minor > 0
+			}
+		case 10:
+			if EqualFold(f.Name, "connection") {
+				EachMember(f.Value, func(m []byte) {
+					alive = alive || EqualFold(m, "keep-alive")
+					closed = closed || EqualFold(m, "close")
+				})
+			}
+		case 14:
+			if EqualFold(f.Name, "content-length") {
+				n, err := contentLength(f.Value)
+				if err != nil {
+					return false, err
+				}
+				if lengths++; lengths > 1 && n != h.ContentLength {
+					return false, ErrLengths
+				}
+				h.ContentLength = n
+			}
+		case 17:
+			if EqualFold(f.Name, "transfer-encoding") {
+				if codings++; codings > 1 {
+					return false, ErrCodingOrder
+				}
+				if err := coding(f.Value); err != nil {
+					return false, err
+				}
+			}
+		}
+	}
+	h.Close = closed || h.Minor == 0 && !alive
+	if codings > 0 && h.Minor == 0 {
+		return false, ErrCodingOld
+	}
+	if codings > 0 && lengths > 0 {
+		return false, ErrLengthAndCoded
+	}
+	if hosts != 1 {
+		h.Host = nil
+		if hosts > 1 {
+			return false, ErrNoHost
+		}
+	}
+	return codings > 0, nil
+}
+
+// EachMember calls f for each non-empty member of a comma-separated list
+// without quoted strings, as that of Connection.
+func EachMember(list []byte, f func([]byte)) {
+	for len(list) > 0 {
+		m := list
+		if i := bytes.IndexByte(list, ','); i >= 0 {
+			m, list = list[:i], list[i+1:]
+		} else {
+			list = nil
+		}
+		if m = trim(m); len(m) > 0 {
+			f(m)
+		}
+	}
+}
+
+// contentLength reads one value, or a list of one value repeated (RFC 9110, section 8.6).
+func contentLength(v []byte) (int64, error) {
+	n, any := int64(-1), false
+	for {
+		m, more := v, false
+		if i := bytes.IndexByte(v, ','); i >= 0 {
+			m, v, more = v[:i], v[i+1:], true
+		}
+		m = trim(m)
+		if len(m) == 0 || len(m) > 18 {
+			return 0, ErrLength
+		}
+		var k int64
+		for _, c := range m {
+			if !digit(c) {
+				return 0, ErrLength
+			}
+			k = k*10 + int64(c-'0')
+		}
+		if any && k != n {
+			return 0, ErrLengths
+		}
+		if n, any = k, true; !more {
+			return n, nil
+		}
+	}
+}
+
+func coding(v []byte) error {
+	if EqualFold(v, "chunked") {
+		return nil
+	}
+	if bytes.IndexByte(v, ',') >= 0 || !Token(v) {
+		return ErrCodingOrder
+	}
+	return ErrCoding
+}
+
+func (h *Head) frameRequest() error {
+	coded, err := h.frame()
+	if err != nil {
+		return err
+	}
+	if h.Minor > 0 && !h.Has("host") {
+		return ErrNoHost
+	}
+	if !all(h.Host, hostChar) {
+		return ErrHost
+	}
+	switch {
+	case coded:
+		h.Body = Chunked
+	case h.ContentLength > 0:
+		h.Body = Length
+	}
+	if h.Body == NoBody {
+		h.Expect100 = false
+	}
+	switch c := h.Target[0]; {
+	case c == '/', c == '*' && len(h.Target) == 1 && string(h.Method) == "OPTIONS":
+	case string(h.Method) == "CONNECT":
+		return ErrMethodNot
+	case bytes.HasPrefix(h.Target, []byte("http://")), bytes.HasPrefix(h.Target, []byte("https://")):
+	default:
+		return ErrTarget
+	}
+	return nil
+}
+
+// ErrMethodNot is a method that is understood and never served here.
+var ErrMethodNot = &Fault{501, "CONNECT is not served"}
+
+func (h *Head) frameResponse(toHead bool) error {
+	coded, err := h.frame()
+	if f, ok := err.(*Fault); ok {
+		if f == ErrNoHost { // means nothing in a response
+			coded, err = h.Has("transfer-encoding"), nil
+		} else {
+			return err
+		}
+	}
+	switch {
+	case h.Status == 101:
+		return ErrUpgradeStatus
+	case h.Status < 200, h.Status == 204, h.Status == 304, toHead:
+		h.Body = NoBody
+	case coded:
+		h.Body = Chunked
+	case h.ContentLength >= 0:
+		if h.Body = Length; h.ContentLength == 0 {
+			h.Body = NoBody
+		}
+	default:
+		h.Body, h.Close = UntilClose, true
+	}
+	return nil
+}
+
+// Path returns the target's path and query in origin form: of an absolute
+// target what follows the authority.
+func (h *Head) Path() []byte {
+	t := h.Target
+	if len(t) > 0 && t[0] == '/' {
+		return t
+	}
+	if i := bytes.Index(t, []byte("://")); i >= 0 {
+		if k := bytes.IndexByte(t[i+3:], '/'); k >= 0 {
+			return t[i+3+k:]
+		}
+		return slash
+	}
+	return t
+}
+
+var slash = []byte("/")
