--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,154 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const good = `; an edge
+(router (name e1) (zone z1) (listen "127.0.0.1:0"))
+(zone z1 (hub h)) (zone h (hub h))
+(class still (aim 400) (deadline 3000.5))
+(class film (parts) (aim 300))
+(route "/s/{group}/{object}" (class still))
+(route "/v/{group}/{object}/{part}" (class film) (methods GET HEAD))
+(member box-1 (zone z1) (address "127.0.0.1:1"))
+`
+
+func TestGood(t *testing.T) {
+	var s Settings
+	if err := Read("a.edn", good, &s); err != nil {
+		t.Fatal(err)
+	}
+	if s.Router.Name != "e1" || s.Classes[0].Deadline != 3000.5 || !s.Classes[1].Parts ||
+		s.Limits.Connect != 500 || s.Rules.DrainGrace != 500 || len(s.Routes[1].Methods) != 2 || s.Members[0].Kind != "box" {
+		t.Fatalf("read as %+v", s)
+	}
+	if p := s.Members[0].Place.Pos; p.Line != 8 || p.Col != 1 {
+		t.Fatalf("the member is placed at %v", p)
+	}
+}
+
+// Every fault is told at its place, all in one go.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ name, old, new, want string }{
+		{"unknown key", "(aim 400)", "(aym 400)", `a.edn:4:15: class: unknown key "aym"; did you mean aim?`},
+		{"bounds", "(aim 400)", "(aim 0)", "a.edn:4:19: class/aim: 0 is too small; it must be 1 or more"},
+		{"type", "(aim 400)", "(aim soon)", "a.edn:4:19: class/aim: soon is no number"},
+		{"unit", "(aim 400)", "(aim 400ms)", "a.edn:4:19: 400ms is neither a number, a word nor a string"},
+		{"twice", "(aim 400)", "(aim 400) (aim 500)", "a.edn:4:25: class/aim: given twice, first at 4:19; keep one"},
+		{"past deadline", "(aim 400)", "(aim 4000)", "a.edn:4:19: class/aim: aim 4000 is past the deadline 3000.5"},
+		{"no such class", "(class film) (methods", "(class fil) (methods", `a.edn:7:44: route/class: class "fil" is not given`},
+		{"two values", "(aim 400)", "(aim 1 2)", "a.edn:4:14: class/aim: 2 values given"},
+		{"no zone", "(zone z1) (listen", "(zone z9) (listen", `a.edn:2:25: router/zone: "z9" is no zone`},
+		{"not closed", "(address \"127.0.0.1:1\"))", "(address \"127.0.0.1:1\")", "a.edn:8:1: a list is never closed"},
+		{"closes nothing", "(zone h (hub h))", "(zone h (hub h)))", `a.edn:3:35: ')' closes nothing`},
+		{"string open", `"127.0.0.1:1"`, `"127.0.0.1:1`, "a.edn:8:34: a string is never closed"},
+		{"address", `"127.0.0.1:1"`, `here`, `a.edn:8:34: member/address: "here" is no address`},
+		{"missing", "(zone z1) (listen", "(listen", "a.edn:2:1: router/zone: not given; add (zone ...)"},
+		{"big", "(aim 400)", "(aim 1e9999999M)", "a.edn:4:19: 1e9999999M is a number of any precision"},
+		{"map", "(aim 400)", "{aim 400}", "a.edn:4:14: '{' has no place in settings"},
+		{"admin", "(listen", "(admin \"0.0.0.0:1\") (listen", "is not a loopback address"},
+		{"pattern", "{group}/{object}/{part}", "x{object}/{part}", `segment "x{object}" is neither text nor one {name}`},
+		{"no name", "(class film ", "(class ", "a.edn:5:1: class: no name given"},
+	} {
+		var s Settings
+		err := Read("a.edn", strings.Replace(good, c.old, c.new, 1), &s)
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got\n%v\nwant\n%s", c.name, err, c.want)
+		}
+	}
+	var s Settings
+	err := Read("a.edn", "(router (zone z) (me x) (of 0))\n(clas a)\n(zone)", &s)
+	var faults Faults
+	if !errors.As(err, &faults) || len(faults) != 4 {
+		t.Fatalf("want four faults at once, got:\n%v", err)
+	}
+}
+
+func TestReadFile(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "x.edn")
+	var s Settings
+	if err := ReadFile(name, &s); !errors.Is(err, os.ErrNotExist) {
+		t.Fatalf("no file: %v", err)
+	}
+	os.WriteFile(name, []byte(good), 0o600)
+	if err := ReadFile(name, &s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func strip(s Settings) Settings {
+	s.Router.Place, s.Limits.Place, s.Rules.Place, s.Fill.Place = Place{}, Place{}, Place{}, Place{}
+	for i := range s.Zones {
+		s.Zones[i].Place = Place{}
+	}
+	for i := range s.Classes {
+		s.Classes[i].Place = Place{}
+	}
+	for i := range s.Routes {
+		s.Routes[i].Place = Place{}
+	}
+	for i := range s.Members {
+		s.Members[i].Place = Place{}
+	}
+	return s
+}
+
+// The canonical print reads back as the same settings, and prints the same.
+func TestPrintRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Settings
+		if err := Read("a.edn", good, &s); err != nil {
+			t.Fatal(err)
+		}
+		s.Router.Name = rapid.String().Draw(t, "name")
+		s.Router.Me = rapid.IntRange(0, 3).Draw(t, "me")
+		s.Router.Of = 4
+		s.Classes[0].Worth = rapid.Float64Range(0, 1e6).Draw(t, "worth")
+		s.Rules.ColdFrom = rapid.Float64Range(0, 1).Draw(t, "cold")
+		s.Limits.SecondCopies = rapid.Bool().Draw(t, "copies")
+		s.Fill.Feedback = rapid.SliceOfN(rapid.StringMatching(`[a-z]{1,5}`), 1, 3).Draw(t, "feedback")
+		text := Print(&s)
+		var back Settings
+		if err := Read("b.edn", text, &back); err != nil {
+			t.Fatalf("%v in:\n%s", err, text)
+		}
+		if a, b := strip(s), strip(back); !reflect.DeepEqual(a, b) {
+			t.Fatalf("printed\n%s\nread back as\n%+v\nwant\n%+v", text, b, a)
+		}
+		if again := Print(&back); again != text {
+			t.Fatalf("printed again:\n%s\nfirst:\n%s", again, text)
+		}
+	})
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add(good)
+	f.Add("(router (zone \"a\\\"b\")) #{1} [ ( ;x\n")
+	f.Fuzz(func(t *testing.T, src string) {
+		var s Settings
+		err := Read("f.edn", src, &s)
+		var faults Faults
+		if err != nil && !errors.As(err, &faults) {
+			t.Fatalf("%T: %v", err, err)
+		}
+		for _, one := range faults {
+			if one.Pos.Line < 1 || one.Pos.Col < 1 || one.What == "" {
+				t.Fatalf("a fault without place or text: %+v", one)
+			}
+		}
+		if err == nil {
+			var again Settings
+			if err := Read("g.edn", Print(&s), &again); err != nil {
+				t.Fatalf("the canonical print is refused: %v\n%s", err, Print(&s))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/decode.go
@@ -0,0 +1,374 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"olympos.io/encoding/edn"
+)
+
+// The tags of a schema's fields:
+//
+//	edn:"aim"           (aim 400)
+//	edn:"@"             a positional value, in the order of the fields
+//	edn:"class"         of a slice of structs: (class ...), any number of times
+//	edn:"...,required"  it must be given
+//	min:"0" max:"1"     bounds of numbers
+//	oneof:"free guarded"  the words that are known
+//	def:"400"           the value where nothing is given
+//
+// A field of type Place is set to where the form stands.
+
+// Place says where a form and the keys in it stand.
+type Place struct {
+	Pos  Pos
+	keys map[string]Pos
+}
+
+// Of is the place of a key's first value, or of the whole form.
+func (p Place) Of(key string) Pos {
+	if at, ok := p.keys[key]; ok {
+		return at
+	}
+	return p.Pos
+}
+
+// Given reports whether the key stands in the form.
+func (p Place) Given(key string) bool {
+	_, ok := p.keys[key]
+	return ok
+}
+
+var placeType = reflect.TypeFor[Place]()
+
+// Checker is implemented by settings that check what the schema can't say.
+type Checker interface {
+	// Check appends what is wrong, with places.
+	Check(faults *Faults)
+}
+
+// Read reads settings into the struct that v points to: one top-level form for
+// each of its fields. Every fault is reported, also those of Check where the
+// schema found none. What v held before is gone.
+func Read(file, src string, v any) error {
+	forms, faults := read(file, src)
+	d := &decoder{faults: faults}
+	top := reflect.ValueOf(v).Elem()
+	top.SetZero()
+	d.fill(top, forms, Pos{file, 1, 1}, "")
+	if len(d.faults) == 0 {
+		if c, ok := v.(Checker); ok {
+			c.Check(&d.faults)
+		}
+	}
+	return d.faults.Err()
+}
+
+type decoder struct{ faults Faults }
+
+func (d *decoder) fault(p Pos, key, what, remedy string) {
+	d.faults = append(d.faults, Fault{p, key, what, remedy})
+}
+
+type fieldInfo struct {
+	index    int
+	key      string
+	required bool
+	tag      reflect.StructTag
+}
+
+func fieldsOf(t reflect.Type) (named map[string]fieldInfo, positional []fieldInfo, place int) {
+	named, place = map[string]fieldInfo{}, -1
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if f.Type == placeType {
+			place = i
+			continue
+		}
+		tag, ok := f.Tag.Lookup("edn")
+		if !ok || tag == "-" {
+			continue
+		}
+		key, opts, _ := strings.Cut(tag, ",")
+		info := fieldInfo{index: i, key: key, required: opts == "required", tag: f.Tag}
+		if key == "@" {
+			info.key = strings.ToLower(f.Name)
+			positional = append(positional, info)
+		} else {
+			named[key] = info
+		}
+	}
+	return named, positional, place
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "/" + key
+}
+
+// fill sets a struct's fields from the forms of a list.
+func (d *decoder) fill(v reflect.Value, forms []form, at Pos, path string) {
+	named, positional, place := fieldsOf(v.Type())
+	for _, info := range named {
+		d.preset(v.Field(info.index), info, at)
+	}
+	for _, info := range positional {
+		d.preset(v.Field(info.index), info, at)
+	}
+	keys := map[string]Pos{}
+	pos := 0
+	for i := range forms {
+		f := &forms[i]
+		if !f.isList() {
+			if pos < len(positional) {
+				info := positional[pos]
+				field := v.Field(info.index)
+				if field.Kind() == reflect.Slice {
+					d.appendTo(field, f, info, join(path, info.key))
+				} else {
+					d.scalar(field, f, info, join(path, info.key))
+					pos++
+				}
+				if _, ok := keys[info.key]; !ok {
+					keys[info.key] = f.pos
+				}
+				continue
+			}
+			d.fault(f.pos, path, fmt.Sprintf("value %s is not expected here", f.text), expect(named))
+			continue
+		}
+		if len(f.list) == 0 || f.list[0].word() == "" {
+			d.fault(f.pos, path, "a list must begin with a word", expect(named))
+			continue
+		}
+		key := f.list[0].word()
+		info, ok := named[key]
+		if !ok {
+			remedy := expect(named)
+			if near := nearest(key, named); near != "" {
+				remedy = fmt.Sprintf("did you mean %s?", near)
+			}
+			d.fault(f.list[0].pos, path, fmt.Sprintf("unknown key %q", key), remedy)
+			continue
+		}
+		field := v.Field(info.index)
+		many := field.Kind() == reflect.Slice && field.Type().Elem().Kind() == reflect.Struct
+		if first, twice := keys[key]; twice && !many {
+			d.fault(f.list[0].pos, join(path, key), fmt.Sprintf("given twice, first at %d:%d", first.Line, first.Col),
+				"keep one of them")
+			continue
+		}
+		if _, ok := keys[key]; !ok {
+			keys[key] = f.list[0].pos
+			if len(f.list) > 1 {
+				keys[key] = f.list[1].pos
+			}
+		}
+		d.value(field, f, info, join(path, key))
+	}
+	for _, info := range positional {
+		if _, ok := keys[info.key]; info.required && !ok {
+			d.fault(at, path, fmt.Sprintf("no %s given", info.key), "write it behind the key")
+		}
+	}
+	for key, info := range named {
+		if _, ok := keys[key]; info.required && !ok {
+			d.fault(at, join(path, key), "not given", fmt.Sprintf("add (%s ...)", key))
+		}
+	}
+	if place >= 0 {
+		v.Field(place).Set(reflect.ValueOf(Place{at, keys}))
+	}
+}
+
+// preset sets a field's default.
+func (d *decoder) preset(field reflect.Value, info fieldInfo, at Pos) {
+	if field.Kind() == reflect.Struct {
+		d2 := &decoder{}
+		d2.fill(field, nil, at, "") // defaults only; what it lacks is told when it is given
+		return
+	}
+	def, ok := info.tag.Lookup("def")
+	if !ok {
+		return
+	}
+	switch field.Kind() {
+	case reflect.String:
+		field.SetString(def)
+	case reflect.Bool:
+		field.SetBool(def == "true")
+	case reflect.Int, reflect.Int64:
+		n, _ := strconv.ParseInt(def, 10, 64)
+		field.SetInt(n)
+	case reflect.Float64:
+		x, _ := strconv.ParseFloat(def, 64)
+		field.SetFloat(x)
+	}
+}
+
+// value sets a field from (key ...).
+func (d *decoder) value(field reflect.Value, f *form, info fieldInfo, path string) {
+	args := f.list[1:]
+	switch {
+	case field.Kind() == reflect.Struct:
+		d.fill(field, args, f.pos, path)
+	case field.Kind() == reflect.Slice && field.Type().Elem().Kind() == reflect.Struct:
+		elem := reflect.New(field.Type().Elem()).Elem()
+		d.fill(elem, args, f.pos, path)
+		field.Set(reflect.Append(field, elem))
+	case field.Kind() == reflect.Slice:
+		if len(args) == 0 {
+			d.fault(f.pos, path, "no value given", fmt.Sprintf("write (%s value ...)", info.key))
+		}
+		for i := range args {
+			d.appendTo(field, &args[i], info, path)
+		}
+	case field.Kind() == reflect.Bool && len(args) == 0:
+		field.SetBool(true)
+	case len(args) != 1:
+		d.fault(f.pos, path, fmt.Sprintf("%d values given", len(args)), fmt.Sprintf("write (%s value)", info.key))
+	default:
+		d.scalar(field, &args[0], info, path)
+	}
+}
+
+func (d *decoder) appendTo(field reflect.Value, f *form, info fieldInfo, path string) {
+	elem := reflect.New(field.Type().Elem()).Elem()
+	before := len(d.faults)
+	if d.scalar(elem, f, info, path); len(d.faults) == before {
+		field.Set(reflect.Append(field, elem))
+	}
+}
+
+func (d *decoder) scalar(field reflect.Value, f *form, info fieldInfo, path string) {
+	if f.isList() {
+		d.fault(f.pos, path, "a list stands where a value is wanted", "write a number, a word or a string")
+		return
+	}
+	switch field.Kind() {
+	case reflect.String:
+		var s string
+		switch v := f.atom.(type) {
+		case string:
+			s = v
+		case edn.Symbol:
+			s = string(v)
+		case int64:
+			s = f.text
+		default:
+			d.fault(f.pos, path, fmt.Sprintf("%s is no word or string", f.text), "put it in double quotes")
+			return
+		}
+		if list, ok := info.tag.Lookup("oneof"); ok && !has(strings.Fields(list), s) {
+			d.fault(f.pos, path, fmt.Sprintf("%q is not known here", s), "use one of: "+strings.Join(strings.Fields(list), ", "))
+			return
+		}
+		field.SetString(s)
+	case reflect.Bool:
+		v, ok := f.atom.(bool)
+		if !ok {
+			d.fault(f.pos, path, fmt.Sprintf("%s is neither true nor false", f.text), "write true or false")
+			return
+		}
+		field.SetBool(v)
+	case reflect.Int, reflect.Int64:
+		v, ok := f.atom.(int64)
+		if !ok {
+			d.fault(f.pos, path, fmt.Sprintf("%s is no whole number", f.text), "write a whole number")
+			return
+		}
+		if d.bounds(float64(v), f, info, path) {
+			field.SetInt(v)
+		}
+	case reflect.Float64:
+		var x float64
+		switch v := f.atom.(type) {
+		case int64:
+			x = float64(v)
+		case float64:
+			x = v
+		default:
+			d.fault(f.pos, path, fmt.Sprintf("%s is no number", f.text), "write a number; spans are in milliseconds")
+			return
+		}
+		if math.IsNaN(x) || math.IsInf(x, 0) {
+			d.fault(f.pos, path, fmt.Sprintf("%s is no finite number", f.text), "write a finite number")
+			return
+		}
+		if d.bounds(x, f, info, path) {
+			field.SetFloat(x)
+		}
+	default:
+		panic("config: schema field of kind " + field.Kind().String())
+	}
+}
+
+func (d *decoder) bounds(x float64, f *form, info fieldInfo, path string) bool {
+	lo, hasLo := info.tag.Lookup("min")
+	hi, hasHi := info.tag.Lookup("max")
+	low, _ := strconv.ParseFloat(lo, 64)
+	high, _ := strconv.ParseFloat(hi, 64)
+	switch {
+	case hasLo && hasHi && (x < low || x > high):
+		d.fault(f.pos, path, f.text+" is out of bounds", fmt.Sprintf("it must be from %s to %s", lo, hi))
+	case hasLo && x < low:
+		d.fault(f.pos, path, f.text+" is too small", fmt.Sprintf("it must be %s or more", lo))
+	case hasHi && x > high:
+		d.fault(f.pos, path, f.text+" is too large", fmt.Sprintf("it must be %s or less", hi))
+	default:
+		return true
+	}
+	return false
+}
+
+func has(list []string, s string) bool {
+	for _, one := range list {
+		if one == s {
+			return true
+		}
+	}
+	return false
+}
+
+func expect(named map[string]fieldInfo) string {
+	if len(named) == 0 {
+		return "no keys are known here"
+	}
+	return "known keys: " + strings.Join(sortedKeys(named), ", ")
+}
+
+// nearest is the known key within two edits of a word, or "".
+func nearest(word string, named map[string]fieldInfo) (best string) {
+	least := 3
+	for _, key := range sortedKeys(named) {
+		if n := edits(word, key); n < least {
+			best, least = key, n
+		}
+	}
+	return best
+}
+
+// edits is the Levenshtein distance of two words.
+func edits(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diag := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			diag, row[j] = row[j], min(row[j]+1, row[j-1]+1, diag+cost)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/internal/config/form.go
@@ -0,0 +1,229 @@
+// Package config reads settings given as S-expressions, checks them against a
+// schema, and prints them in one canonical form. The schema is Go structs with
+// tags; the settings of the programs are in schema.go, and other packages bring
+// their own (a day script is one).
+//
+// All faults of a file are told in one go, each with file, line, column, key
+// and remedy. The package knows nothing of what the settings are for and does
+// no I/O but to read the named file.
+package config
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"olympos.io/encoding/edn"
+)
+
+// Pos is a place in a file. Lines and columns count from 1; columns in bytes.
+type Pos struct {
+	File      string
+	Line, Col int
+}
+
+func (p Pos) String() string { return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Col) }
+
+// A Fault is one thing wrong with the settings.
+type Fault struct {
+	Pos    Pos
+	Key    string // the path of the key, as class/aim
+	What   string // what is wrong, with the value
+	Remedy string
+}
+
+func (f Fault) String() string {
+	s := f.Pos.String() + ": "
+	if f.Key != "" {
+		s += f.Key + ": "
+	}
+	s += f.What
+	if f.Remedy != "" {
+		s += "; " + f.Remedy
+	}
+	return s
+}
+
+// Faults is an error that tells every fault, in the order of the file.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, one := range f {
+		lines[i] = one.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the faults as an error, nil where there are none.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	sort.SliceStable(f, func(i, j int) bool {
+		a, b := f[i].Pos, f[j].Pos
+		return a.Line < b.Line || a.Line == b.Line && a.Col < b.Col
+	})
+	return f
+}
+
+// form is a list, or an atom with its value. The values are read by the edn
+// library; the walk is ours, since it keeps no places of what it has read.
+type form struct {
+	pos  Pos
+	list []form
+	atom any // string, edn.Symbol, edn.Keyword, int64, float64, bool; nil of a list
+	text string
+}
+
+func (f *form) isList() bool { return f.atom == nil }
+
+// word is the text of a symbol, or "".
+func (f *form) word() string {
+	if s, ok := f.atom.(edn.Symbol); ok {
+		return string(s)
+	}
+	return ""
+}
+
+const maxDepth = 40
+
+type reader struct {
+	file   string
+	src    string
+	at     int
+	line   int
+	start  int // index at which the line begins
+	faults Faults
+}
+
+func (r *reader) pos() Pos { return Pos{r.file, r.line, r.at - r.start + 1} }
+
+func (r *reader) fault(p Pos, what, remedy string) {
+	r.faults = append(r.faults, Fault{Pos: p, What: what, Remedy: remedy})
+}
+
+func (r *reader) step() {
+	if r.src[r.at] == '\n' {
+		r.line++
+		r.start = r.at + 1
+	}
+	r.at++
+}
+
+func (r *reader) skip() {
+	for r.at < len(r.src) {
+		switch c := r.src[r.at]; {
+		case c == ' ' || c == '\t' || c == '\r' || c == '\n' || c == ',':
+			r.step()
+		case c == ';':
+			for r.at < len(r.src) && r.src[r.at] != '\n' {
+				r.step()
+			}
+		default:
+			return
+		}
+	}
+}
+
+// forms reads up to the closing bracket, or to the end at depth 0.
+func (r *reader) forms(depth int, closing byte, opened Pos) (list []form) {
+	for {
+		r.skip()
+		if r.at >= len(r.src) {
+			if depth > 0 {
+				r.fault(opened, "a list is never closed", fmt.Sprintf("add the missing %q", closing))
+			}
+			return list
+		}
+		p := r.pos()
+		switch c := r.src[r.at]; c {
+		case '(', '[':
+			if depth >= maxDepth {
+				r.fault(p, "lists are nested too deep", fmt.Sprintf("at most %d levels are read", maxDepth))
+				r.at = len(r.src)
+				return list
+			}
+			r.step()
+			end := byte(')')
+			if c == '[' {
+				end = ']'
+			}
+			list = append(list, form{pos: p, list: r.forms(depth+1, end, p)})
+		case ')', ']':
+			r.step()
+			if depth == 0 {
+				r.fault(p, fmt.Sprintf("%q closes nothing", c), "remove it")
+				continue
+			}
+			if c != closing {
+				r.fault(p, fmt.Sprintf("%q closes the list opened at %d:%d", c, opened.Line, opened.Col),
+					fmt.Sprintf("close it with %q", closing))
+			}
+			return list
+		case '{', '}', '#', '\'', '`', '~', '^', '@':
+			r.step()
+			r.fault(p, fmt.Sprintf("%q has no place in settings", c), "use lists, words, numbers and strings only")
+		default:
+			if a, ok := r.readAtom(p); ok {
+				list = append(list, a)
+			}
+		}
+	}
+}
+
+func (r *reader) readAtom(p Pos) (form, bool) {
+	from := r.at
+	if r.src[r.at] == '"' {
+		r.step()
+		for r.at < len(r.src) && r.src[r.at] != '"' {
+			if r.src[r.at] == '\\' && r.at+1 < len(r.src) {
+				r.step()
+			}
+			r.step()
+		}
+		if r.at >= len(r.src) {
+			r.fault(p, "a string is never closed", `add the missing "`)
+			return form{}, false
+		}
+		r.step()
+	} else {
+		for r.at < len(r.src) && !strings.ContainsRune(" \t\r\n,;()[]{}\"", rune(r.src[r.at])) {
+			r.step()
+		}
+	}
+	text := r.src[from:r.at]
+	var v any
+	if last := text[len(text)-1]; (last == 'M' || last == 'N') && strings.IndexByte("+-0123456789", text[0]) >= 0 {
+		// the library works for minutes on 1e9999999M; numbers of any precision are of no use here
+		r.fault(p, fmt.Sprintf("%.40s is a number of any precision", text), "write it without the last letter")
+		return form{}, false
+	}
+	if err := edn.UnmarshalString(text, &v); err != nil || v == nil {
+		r.fault(p, fmt.Sprintf("%.40s is neither a number, a word nor a string", text),
+			"put text in double quotes; spans are numbers in milliseconds")
+		return form{}, false
+	}
+	switch v.(type) {
+	case string, edn.Symbol, edn.Keyword, int64, float64, bool:
+		return form{pos: p, atom: v, text: text}, true
+	}
+	r.fault(p, fmt.Sprintf("%.40s is of a kind that settings don't use", text), "use numbers, words or strings")
+	return form{}, false
+}
+
+// read takes a whole file apart.
+func read(file, src string) ([]form, Faults) {
+	r := &reader{file: file, src: src, line: 1}
+	return r.forms(0, 0, Pos{}), r.faults
+}
+
+// ReadFile reads settings from a file into v; see Read.
+func ReadFile(file string, v any) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	return Read(file, string(b), v)
+}
--- /dev/null
+++ b/internal/config/schema.go
@@ -0,0 +1,275 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"strings"
+)
+
+// Settings is the settings file of a router, and of all programs that reach
+// its decisions. Spans are in milliseconds, sizes in KB unless said otherwise.
+type Settings struct {
+	Router  Router   `edn:"router,required"`
+	Limits  Limits   `edn:"limits"`
+	Rules   Rules    `edn:"rules"`
+	Fill    Fill     `edn:"fill"`
+	Zones   []Zone   `edn:"zone"`
+	Classes []Class  `edn:"class"`
+	Routes  []Route  `edn:"route"`
+	Members []Member `edn:"member"`
+}
+
+// Router is what one router is.
+type Router struct {
+	Place  Place
+	Name   string `edn:"name" def:"edge"`
+	Me     int    `edn:"me" min:"0"`                  // its number among the routers
+	Of     int    `edn:"of" def:"1" min:"1"`          // how many routers there are
+	Zone   string `edn:"zone,required"`               // its own
+	Listen string `edn:"listen" def:"127.0.0.1:8080"` // for clients
+	Admin  string `edn:"admin"`                       // for PURGE and state; host:port, or the path of a Unix socket; empty: none
+	List   string `edn:"list"`                        // address of the list service; empty: the members below only
+	Log    string `edn:"log" def:"stderr"`            // access log: stderr, stdout, none or a file
+	Level  string `edn:"level" def:"info" oneof:"debug info warn error"`
+	Seed   int    `edn:"seed" def:"1"`
+
+	DeadlineHeader string `edn:"deadline-header" def:"Spool-Deadline"` // a client's own time in ms, lowers its class's
+	SizeHeader     string `edn:"size-header" def:"Spool-KB"`           // size of the object's part, where the client knows it
+	RetryHeader    string `edn:"retry-header" def:"Spool-Retry"`       // marks a client's repeat
+}
+
+// Limits bound what a router holds and how long it waits.
+type Limits struct {
+	Place          Place
+	Connections    int     `edn:"connections" def:"20000" min:"1"`
+	Held           int     `edn:"held" def:"20000" min:"1"`           // requests in hand
+	Pipelined      int     `edn:"pipelined" def:"16384" min:"1024"`   // bytes read ahead of a connection's present request
+	Head           int     `edn:"head" def:"32768" min:"1024"`        // bytes of a head
+	Line           int     `edn:"line" def:"8192" min:"256"`          // bytes of a request line
+	Fields         int     `edn:"fields" def:"100" min:"8"`           // field lines
+	Body           int     `edn:"body" def:"1048576" min:"0"`         // bytes of a request's body
+	Buffer         int     `edn:"buffer" def:"262144" min:"4096"`     // bytes that wait for a slow client
+	HeadTime       float64 `edn:"head-time" def:"10000" min:"1"`      // for a whole request to come
+	ClientIdle     float64 `edn:"client-idle" def:"60000" min:"1"`    // between requests
+	WriteIdle      float64 `edn:"write-idle" def:"20000" min:"1"`     // a client that takes nothing
+	Connect        float64 `edn:"connect" def:"500" min:"1"`          // to a member
+	BodyIdle       float64 `edn:"body-idle" def:"5000" min:"1"`       // a member that has begun to answer and sends nothing
+	Upstream       int     `edn:"upstream" def:"512" min:"1"`         // connections a member
+	UpstreamIdle   float64 `edn:"upstream-idle" def:"15000" min:"1"`  // kept unused for
+	Drain          float64 `edn:"drain" def:"10000" min:"0"`          // to finish after SIGTERM
+	LogQueue       int     `edn:"log-queue" def:"8192" min:"16"`      // lines
+	Attempts       int     `edn:"attempts" def:"6" min:"1" max:"100"` // a request
+	RetryAfter     float64 `edn:"retry-after" def:"2000" min:"0"`     // longest advice to clients; 0: none
+	SecondCopies   bool    `edn:"second-copies"`
+	ListBackoff    float64 `edn:"list-backoff" def:"200" min:"1"` // first wait before the list service is called again; doubles to 32 times
+	ListLine       int     `edn:"list-line" def:"4194304" min:"4096"`
+	NoCancel       bool    `edn:"no-cancel"`                     // members go on with what was given up
+	TimerGrain     float64 `edn:"tick" def:"5" min:"0.1"`        // how early a deadline is met, half of it
+	AnswerSlack    float64 `edn:"answer-slack" def:"50" min:"0"` // a client's wait past its deadline
+	AcceptPerTurn  int     `edn:"accept-per-turn" def:"64" min:"1"`
+	ShutdownLinger float64 `edn:"linger" def:"500" min:"0"` // reads and drops what a client still sends after a fault's answer
+}
+
+// Rules are the figures of the five rules.
+type Rules struct {
+	Place          Place
+	DrainGrace     float64 `edn:"drain-grace" def:"500" min:"0"`
+	ColdFrom       float64 `edn:"cold-from" def:"0.2" min:"0" max:"1"`
+	ColdTime       float64 `edn:"cold-time" def:"18000" min:"0"`
+	FallFactor     float64 `edn:"fall-factor" def:"4" min:"1"`
+	FallTime       float64 `edn:"fall-time" def:"3000" min:"1"`
+	ParentColdFrom float64 `edn:"parent-cold-from" def:"0.06" min:"0" max:"1"`
+	ParentColdTime float64 `edn:"parent-cold-time" def:"22000" min:"0"`
+	ParentFall     float64 `edn:"parent-fall" def:"2" min:"1"`
+	PurgeTakes     float64 `edn:"purge-takes" def:"6000" min:"0"`
+	PurgeSlack     float64 `edn:"purge-slack" def:"300" min:"0"`
+}
+
+// Fill says what caches and parents can do.
+type Fill struct {
+	Place       Place
+	ParentKind  string   `edn:"parent-kind" def:"parent"`
+	OriginKind  string   `edn:"origin-kind" def:"origin"`
+	Direct      bool     `edn:"direct"` // parents and the origin take attempts too
+	Joins       bool     `edn:"joins"`
+	Siblings    string   `edn:"siblings" def:"off" oneof:"off location any"`
+	Detail      string   `edn:"detail" def:"all" oneof:"off hit all"`
+	FlowKB      float64  `edn:"flow" def:"0" min:"0"` // KB a ms of one transfer to a client; 0: not known
+	Sizes       bool     `edn:"sizes"`                // (size ...) of members is their capacity
+	Feedback    []string `edn:"feedback"`             // names of the load report's values
+	RangeKB     int      `edn:"range-kb" def:"0" min:"0"`
+	DefaultPart float64  `edn:"default-kb" def:"0" min:"0"`
+}
+
+// Zone is a location, or a hub.
+type Zone struct {
+	Place   Place
+	Name    string  `edn:"@,required"`
+	Hub     string  `edn:"hub"`                  // the hub zone it is tied to; itself of a hub
+	Routers int     `edn:"routers" min:"0"`      // in this zone
+	LinkIn  float64 `edn:"link" def:"0" min:"0"` // KB a ms; 0: not told
+}
+
+// Class is a class of requests.
+type Class struct {
+	Place      Place
+	Name       string  `edn:"@,required"`
+	Aim        float64 `edn:"aim" def:"400" min:"1"`
+	AimStretch float64 `edn:"aim-stretch" min:"0"`
+	Deadline   float64 `edn:"deadline" def:"3000" min:"1"`
+	Worth      float64 `edn:"worth" def:"1" min:"0"`
+	LateWorth  float64 `edn:"late-worth" min:"0" max:"1"`
+	Effect     string  `edn:"effect" def:"free" oneof:"free guarded single-shot"`
+	Group      string  `edn:"group" def:"nowhere" oneof:"nowhere cell zone all"` // of guarded: who drops repeats
+	Window     float64 `edn:"window" min:"0"`                                    // of guarded: for how long
+	Parts      bool    `edn:"parts"`
+	Write      bool    `edn:"write"`
+	Fresh      float64 `edn:"fresh" min:"0"` // 0: until purged
+	Grace      float64 `edn:"grace" min:"0"`
+	StaleWorth float64 `edn:"stale-worth" min:"0" max:"1"`
+}
+
+// Route maps requests to classes. The first that fits is taken. A pattern's
+// segments are text, {object}, {group}, {part}, or {name} of anything; * at the
+// end takes the rest. The object's name is the path up to and with {object}.
+type Route struct {
+	Place   Place
+	Pattern string   `edn:"@,required"`
+	Class   string   `edn:"class,required"`
+	Methods []string `edn:"methods"`       // default: GET and HEAD; of writes POST, PUT, PATCH and DELETE
+	KB      float64  `edn:"kb" min:"0"`    // size, where it is the same for all
+	Ranges  bool     `edn:"ranges"`        // the part is the Range's first byte over (fill (range-kb n))
+	NoGroup bool     `edn:"without-group"` // {group} is only text
+}
+
+// Member is a cache, a parent or an origin.
+type Member struct {
+	Place   Place
+	ID      string  `edn:"@,required"`
+	Zone    string  `edn:"zone"`
+	Kind    string  `edn:"kind" def:"box"`
+	Cell    int     `edn:"cell"`
+	Size    float64 `edn:"size" def:"1" min:"0"`
+	Address string  `edn:"address,required"`
+	State   string  `edn:"state" def:"serving" oneof:"serving draining removed"`
+}
+
+// Check tells what contradicts itself.
+func (s *Settings) Check(f *Faults) {
+	add := func(p Pos, key, what, remedy string) { *f = append(*f, Fault{p, key, what, remedy}) }
+	zones := map[string]bool{}
+	for _, z := range s.Zones {
+		if zones[z.Name] {
+			add(z.Place.Pos, "zone", fmt.Sprintf("zone %q is named twice", z.Name), "keep one of them")
+		}
+		zones[z.Name] = true
+	}
+	for _, z := range s.Zones {
+		if z.Hub != "" && !zones[z.Hub] {
+			add(z.Place.Of("hub"), "zone/hub", fmt.Sprintf("hub %q is no zone", z.Hub), fmt.Sprintf("add (zone %s)", z.Hub))
+		}
+	}
+	if len(s.Zones) > 0 && !zones[s.Router.Zone] {
+		add(s.Router.Place.Of("zone"), "router/zone", fmt.Sprintf("%q is no zone", s.Router.Zone),
+			fmt.Sprintf("add (zone %s), or name one of those listed", s.Router.Zone))
+	}
+	if s.Router.Me >= s.Router.Of {
+		add(s.Router.Place.Of("me"), "router/me", fmt.Sprintf("router number %d of %d", s.Router.Me, s.Router.Of),
+			"numbers run from 0; raise (of n)")
+	}
+	address := func(p Pos, key, a string) {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			add(p, key, fmt.Sprintf("%q is no address", a), "write host:port, as 127.0.0.1:8080")
+		}
+	}
+	address(s.Router.Place.Of("listen"), "router/listen", s.Router.Listen)
+	if a := s.Router.Admin; a != "" && !strings.HasPrefix(a, "/") {
+		address(s.Router.Place.Of("admin"), "router/admin", a)
+		if host, _, err := net.SplitHostPort(a); err == nil && host != "localhost" && !net.ParseIP(host).IsLoopback() {
+			add(s.Router.Place.Of("admin"), "router/admin", fmt.Sprintf("%q is not a loopback address", a),
+				"the admin listener has no password: bind it to 127.0.0.1 or to a Unix socket")
+		}
+	}
+	if s.Router.List != "" {
+		address(s.Router.Place.Of("list"), "router/list", s.Router.List)
+	}
+	classes := map[string]*Class{}
+	if len(s.Classes) == 0 {
+		add(s.Router.Place.Pos, "class", "no class is given", "add (class name ...)")
+	}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		if classes[c.Name] != nil {
+			add(c.Place.Pos, "class", fmt.Sprintf("class %q is named twice", c.Name), "keep one of them")
+		}
+		classes[c.Name] = c
+		if c.Aim > c.Deadline {
+			add(c.Place.Of("aim"), "class/aim", fmt.Sprintf("aim %v is past the deadline %v", c.Aim, c.Deadline),
+				"lower the aim or raise the deadline")
+		}
+		if c.Effect == "guarded" && (c.Window <= 0 || c.Group == "nowhere") {
+			add(c.Place.Of("effect"), "class/effect", "a guarded class needs (window ms) and (group cell|zone|all)",
+				"say who drops repeats and for how long")
+		}
+	}
+	if len(s.Routes) == 0 {
+		add(s.Router.Place.Pos, "route", "no route is given", `add (route "/path/{object}" (class name))`)
+	}
+	for _, r := range s.Routes {
+		if classes[r.Class] == nil {
+			add(r.Place.Of("class"), "route/class", fmt.Sprintf("class %q is not given", r.Class), "add it, or name another")
+		}
+		if !strings.HasPrefix(r.Pattern, "/") {
+			add(r.Place.Pos, "route", fmt.Sprintf("pattern %q does not begin with /", r.Pattern), "write the whole path")
+		}
+		if err := CheckPattern(r.Pattern); err != "" {
+			add(r.Place.Pos, "route", fmt.Sprintf("pattern %q: %s", r.Pattern, err), "see docs/operating.md")
+		}
+		if r.Ranges && s.Fill.RangeKB <= 0 {
+			add(r.Place.Of("ranges"), "route/ranges", "the size of a part is not known", "add (range-kb n) to (fill ...)")
+		}
+	}
+	ids := map[string]bool{}
+	for _, m := range s.Members {
+		if ids[m.ID] {
+			add(m.Place.Pos, "member", fmt.Sprintf("member %q is named twice", m.ID), "keep one of them")
+		}
+		ids[m.ID] = true
+		address(m.Place.Of("address"), "member/address", m.Address)
+		if len(s.Zones) > 0 && m.Zone != "" && !zones[m.Zone] {
+			add(m.Place.Of("zone"), "member/zone", fmt.Sprintf("%q is no zone", m.Zone), fmt.Sprintf("add (zone %s)", m.Zone))
+		}
+	}
+	if len(s.Members) == 0 && s.Router.List == "" {
+		add(s.Router.Place.Pos, "member", "there is neither a member nor a list service", "add (member ...) or (router (list address))")
+	}
+	if s.Fill.ParentKind != "" && s.Fill.ParentKind == s.Fill.OriginKind {
+		add(s.Fill.Place.Of("parent-kind"), "fill/parent-kind",
+			fmt.Sprintf("parents and origin are both of kind %q", s.Fill.ParentKind), "name two kinds")
+	}
+}
+
+// CheckPattern says what is wrong with a route's pattern, or "".
+func CheckPattern(p string) string {
+	seen := map[string]bool{}
+	segs := strings.Split(strings.TrimPrefix(p, "/"), "/")
+	for i, seg := range segs {
+		switch {
+		case seg == "*":
+			if i != len(segs)-1 {
+				return "* stands before the end"
+			}
+		case strings.HasPrefix(seg, "{") && strings.HasSuffix(seg, "}") && len(seg) > 2:
+			if seen[seg] {
+				return seg + " stands twice"
+			}
+			seen[seg] = true
+		case strings.ContainsAny(seg, "{}*"):
+			return fmt.Sprintf("segment %q is neither text nor one {name}", seg)
+		}
+	}
+	if seen["{part}"] && !seen["{object}"] {
+		return "{part} without {object}"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,250 @@
+// Package core is the one way to the decisions: settings become
+// indigospool.Settings, a request's method, target and headers become an
+// indigospool.Request, rows of the list become Members. Router, tools and tests
+// all go through it, so that none can say one thing while another does
+// something else.
+//
+// It does no I/O and has no clock; every decision is the module's. What it adds
+// to the module's events is bookkeeping only: addresses of members, and which
+// start of a member a list speaks of.
+package core
+
+import (
+	"fmt"
+	"strconv"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+	"indigospool/internal/http1"
+)
+
+// Core holds a Router and what is needed to speak to it. Like the Router it is
+// not safe for concurrent use.
+type Core struct {
+	Settings *config.Settings
+	router   *spool.Router
+	module   spool.Settings
+	routes   []route
+	members  map[string]*known
+	rev      int64
+}
+
+// known is what the core keeps of a listed member.
+type known struct {
+	spool.Member
+	address string
+	start   int64 // which start of it; 0: not told
+}
+
+// New makes a core from checked settings.
+func New(s *config.Settings, seed uint64) (*Core, error) {
+	c := &Core{Settings: s, members: map[string]*known{}}
+	var err error
+	if c.module, err = Module(s); err != nil {
+		return nil, err
+	}
+	if c.router, err = spool.New(c.module, seed); err != nil {
+		return nil, err
+	}
+	for i := range s.Routes {
+		r, err := compile(s, &s.Routes[i])
+		if err != nil {
+			return nil, err
+		}
+		c.routes = append(c.routes, r)
+	}
+	return c, nil
+}
+
+var effects = map[string]spool.Effect{"free": spool.Free, "guarded": spool.Guarded, "single-shot": spool.SingleShot}
+var scopes = map[string]spool.Scope{"nowhere": spool.Nowhere, "off": spool.Nowhere, "cell": spool.Cell,
+	"zone": spool.Location, "location": spool.Location, "all": spool.Everywhere, "any": spool.Everywhere}
+var details = map[string]spool.Detail{"off": spool.DetailOff, "hit": spool.DetailHit, "all": spool.DetailAll}
+var states = map[string]spool.State{"serving": spool.Serving, "draining": spool.Draining, "removed": spool.Removed}
+
+// Module is what the decision module is told of the settings. Every class
+// counts as streamed, since the edge passes each answer on as it comes: its
+// first byte makes the attempt the client's.
+func Module(s *config.Settings) (spool.Settings, error) {
+	m := spool.Settings{
+		Me: s.Router.Me, Routers: s.Router.Of, Zone: s.Router.Zone, LinkIn: map[string]float64{},
+		ParentKind: s.Fill.ParentKind, OriginKind: s.Fill.OriginKind,
+		Tick: s.Limits.TimerGrain, AnswerSlack: s.Limits.AnswerSlack, DrainGrace: s.Rules.DrainGrace,
+		ColdFrom: s.Rules.ColdFrom, ColdTime: s.Rules.ColdTime,
+		FallFactor: s.Rules.FallFactor, FallTime: s.Rules.FallTime,
+		ParentColdFrom: s.Rules.ParentColdFrom, ParentColdTime: s.Rules.ParentColdTime, ParentFall: s.Rules.ParentFall,
+		PurgeTakes: s.Rules.PurgeTakes, PurgeSlack: s.Rules.PurgeSlack,
+		Direct: s.Fill.Direct, Joins: s.Fill.Joins, Siblings: scopes[s.Fill.Siblings], Detail: details[s.Fill.Detail],
+		FlowKBPerMs: s.Fill.FlowKB, SizesCompare: s.Fill.Sizes,
+		MaxAttempts: s.Limits.Attempts, MaxHeld: s.Limits.Held, MaxRetryAfter: s.Limits.RetryAfter,
+		SecondCopies: s.Limits.SecondCopies, Cancels: !s.Limits.NoCancel, Feedback: s.Fill.Feedback,
+	}
+	place := map[string]int{}
+	for i, z := range s.Zones {
+		place[z.Name] = i
+		m.Zones = append(m.Zones, z.Name)
+		m.RoutersByZone = append(m.RoutersByZone, z.Routers)
+		m.LinkIn[z.Name] = z.LinkIn
+	}
+	for _, z := range s.Zones {
+		hub := place[z.Name]
+		if at, ok := place[z.Hub]; ok {
+			hub = at
+		}
+		m.HubOfZone = append(m.HubOfZone, hub)
+	}
+	for _, k := range s.Classes {
+		m.Classes = append(m.Classes, spool.Class{Name: k.Name, Aim: k.Aim, AimStretch: k.AimStretch,
+			Deadline: k.Deadline, Worth: k.Worth, LateWorth: k.LateWorth, Effect: effects[k.Effect],
+			Group: scopes[k.Group], Window: k.Window, Streamed: true, InParts: k.Parts, Write: k.Write,
+			Fresh: k.Fresh, Grace: k.Grace, StaleWorth: k.StaleWorth})
+	}
+	return m, nil
+}
+
+// Handle gives the module an event at a time of the caller's clock and appends
+// its actions.
+func (c *Core) Handle(now spool.Millis, ev spool.Event, dst []spool.Action) []spool.Action {
+	return c.router.Handle(now, ev, dst)
+}
+
+// Address is where a member is reached; empty when it was never listed with one.
+func (c *Core) Address(id string) string {
+	if m := c.members[id]; m != nil {
+		return m.address
+	}
+	return ""
+}
+
+// Member is the last row that was listed of a member.
+func (c *Core) Member(id string) (spool.Member, bool) {
+	m := c.members[id]
+	if m == nil {
+		return spool.Member{}, false
+	}
+	return m.Member, true
+}
+
+// Members are the ids of all that were listed, with their rows.
+func (c *Core) Members(each func(m spool.Member, address string)) {
+	for _, m := range c.members {
+		each(m.Member, m.address)
+	}
+}
+
+// Rev is the version of the list that the router goes by.
+func (c *Core) Rev() int64 { return c.rev }
+
+// A Turndown is a request that no class fits.
+type Turndown struct {
+	Status int
+	What   string
+}
+
+func (t *Turndown) Error() string { return fmt.Sprintf("core: %s (status %d)", t.What, t.Status) }
+
+// The turndowns.
+var (
+	ErrNoRoute  = &Turndown{404, "no route fits the path"}
+	ErrMethod   = &Turndown{405, "the route does not take the method"}
+	ErrKey      = &Turndown{400, "a guarded write carries no Idempotency-Key"}
+	ErrPart     = &Turndown{400, "the part is no whole number"}
+	ErrRange    = &Turndown{416, "the range does not begin at a part"}
+	ErrDeadline = &Turndown{400, "the deadline is no positive number of milliseconds"}
+)
+
+// Classify turns a request's head into the module's request: the id and the
+// time are the caller's. It allocates the object's name and nothing else.
+func (c *Core) Classify(id string, now spool.Millis, h *http1.Head) (spool.Request, error) {
+	path := h.Path()
+	write := isWrite(h.Method)
+	fits := false
+	for i := range c.routes {
+		r := &c.routes[i]
+		var m match
+		if !r.match(path, &m) {
+			continue
+		}
+		if fits = true; !r.takes(h.Method, write) {
+			continue
+		}
+		q := spool.Request{ID: id, Class: r.class, KB: r.kb, Write: write, Part: m.part, Group: m.group}
+		if m.badPart {
+			return q, ErrPart
+		}
+		if r.ranges {
+			part, err := rangePart(h.Get("range"), r.rangeBytes)
+			if err != nil {
+				return q, err
+			}
+			q.Part = part
+		}
+		if write && r.guarded && len(h.Get("idempotency-key")) == 0 {
+			return q, ErrKey
+		}
+		q.Object = string(path[:m.object])
+		q.Deadline = now + r.deadline
+		if v := h.Get(r.deadlineField); v != nil {
+			ms, err := strconv.ParseFloat(string(v), 64)
+			if err != nil || !(ms > 0) {
+				return q, ErrDeadline
+			}
+			q.Deadline = min(q.Deadline, now+ms)
+		}
+		if v := h.Get(r.sizeField); v != nil {
+			if kb, err := strconv.ParseFloat(string(v), 64); err == nil && kb > 0 && kb < 1e9 {
+				q.KB = kb
+			}
+		}
+		q.Retry = h.Has(r.retryField)
+		return q, nil
+	}
+	if fits {
+		return spool.Request{}, ErrMethod
+	}
+	return spool.Request{}, ErrNoRoute
+}
+
+// Guarded tells of a class whether its requests carry a key that drops repeats.
+func (c *Core) Guarded(class string) bool {
+	for i := range c.module.Classes {
+		if c.module.Classes[i].Name == class {
+			return c.module.Classes[i].Effect == spool.Guarded
+		}
+	}
+	return false
+}
+
+func isWrite(method []byte) bool {
+	switch string(method) {
+	case "GET", "HEAD", "OPTIONS", "TRACE":
+		return false
+	}
+	return true
+}
+
+// rangePart is the part that a Range's first byte stands in: parts are n bytes
+// each. No Range means the first part.
+func rangePart(v []byte, n int64) (int, error) {
+	if len(v) == 0 {
+		return 0, nil
+	}
+	const unit = "bytes="
+	if len(v) <= len(unit) || string(v[:len(unit)]) != unit || v[len(unit)] == '-' {
+		return 0, ErrRange
+	}
+	first, digits := int64(0), 0
+	for _, b := range v[len(unit):] {
+		if b == '-' {
+			break
+		}
+		if b < '0' || b > '9' || digits > 15 {
+			return 0, ErrRange
+		}
+		first, digits = first*10+int64(b-'0'), digits+1
+	}
+	if digits == 0 || first%n != 0 {
+		return 0, ErrRange
+	}
+	return int(min(first/n, 1<<30)), nil
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,156 @@
+package core
+
+import (
+	"strings"
+	"testing"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+	"indigospool/internal/http1"
+)
+
+const text = `
+(router (zone z) (deadline-header "X-Within"))
+(fill (range-kb 64))
+(class still (deadline 3000)) (class film (parts) (deadline 6000))
+(class order (write) (effect guarded) (group all) (window 2000))
+(route "/s/{group}/{object}" (class still))
+(route "/v/{group}/{object}/{part}" (class film) (kb 640))
+(route "/r/{object}" (class film) (ranges))
+(route "/o/{object}" (class order))
+(route "/x/*" (class still))
+(member b1 (zone z) (address "127.0.0.1:1"))
+(member b2 (zone z) (address "127.0.0.1:2"))
+`
+
+func load(t testing.TB) *Core {
+	var s config.Settings
+	if err := config.Read("t.edn", text, &s); err != nil {
+		t.Fatal(err)
+	}
+	c, err := New(&s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func head(t testing.TB, c *Core, msg string) *http1.Head {
+	var h http1.Head
+	if n, err := c.Parse([]byte(msg+"Host: h\r\n\r\n"), &h); n == 0 || err != nil {
+		t.Fatal(n, err)
+	}
+	return &h
+}
+
+func TestClassify(t *testing.T) {
+	c := load(t)
+	for _, k := range []struct {
+		msg    string
+		err    error
+		class  string
+		object string
+		part   int
+		group  int
+		kb     float64
+		within float64
+	}{
+		{"GET /s/7/a.jpg HTTP/1.1\r\n", nil, "still", "/s/7/a.jpg", 0, 7, 0, 3000},
+		{"GET /s/7/a.jpg?w=2 HTTP/1.1\r\nX-Within: 250\r\n", nil, "still", "/s/7/a.jpg", 0, 7, 0, 250},
+		{"GET /s/7/a.jpg HTTP/1.1\r\nX-Within: 99999\r\n", nil, "still", "/s/7/a.jpg", 0, 7, 0, 3000},
+		{"GET /s/7/a.jpg HTTP/1.1\r\nX-Within: -1\r\n", ErrDeadline, "", "", 0, 0, 0, 0},
+		{"HEAD http://h/v/3/f/12 HTTP/1.1\r\nSpool-KB: 12.5\r\n", nil, "film", "/v/3/f", 12, 3, 12.5, 6000},
+		{"GET /v/3/f/12 HTTP/1.1\r\n", nil, "film", "/v/3/f", 12, 3, 640, 6000},
+		{"GET /v/3/f/x HTTP/1.1\r\n", ErrPart, "", "", 0, 0, 0, 0},
+		{"GET /v/3/f/ HTTP/1.1\r\n", ErrNoRoute, "", "", 0, 0, 0, 0},
+		{"GET /v/3/f/1/2 HTTP/1.1\r\n", ErrNoRoute, "", "", 0, 0, 0, 0},
+		{"GET /r/f HTTP/1.1\r\nRange: bytes=131072-196607\r\n", nil, "film", "/r/f", 2, -1, 0, 6000},
+		{"GET /r/f HTTP/1.1\r\nRange: bytes=1-2\r\n", ErrRange, "", "", 0, 0, 0, 0},
+		{"GET /r/f HTTP/1.1\r\nRange: bytes=-2\r\n", ErrRange, "", "", 0, 0, 0, 0},
+		{"POST /o/1 HTTP/1.1\r\nIdempotency-Key: k\r\n", nil, "order", "/o/1", 0, -1, 0, 3000},
+		{"POST /o/1 HTTP/1.1\r\n", ErrKey, "", "", 0, 0, 0, 0},
+		{"GET /o/1 HTTP/1.1\r\n", ErrMethod, "", "", 0, 0, 0, 0},
+		{"DELETE /s/7/a HTTP/1.1\r\n", ErrMethod, "", "", 0, 0, 0, 0},
+		{"GET /x/a/b/c HTTP/1.1\r\n", nil, "still", "/x/a/b/c", 0, -1, 0, 3000},
+		{"GET / HTTP/1.1\r\n", ErrNoRoute, "", "", 0, 0, 0, 0},
+	} {
+		q, err := c.Classify("r", 1000, head(t, c, k.msg))
+		if err != k.err {
+			t.Errorf("%q: %v, want %v", k.msg, err, k.err)
+			continue
+		}
+		if err == nil && (q.Class != k.class || q.Object != k.object || q.Part != k.part || q.Group != k.group ||
+			q.KB != k.kb || q.Deadline != 1000+k.within || q.Write != strings.HasPrefix(k.msg, "POST")) {
+			t.Errorf("%q: %+v, want %+v", k.msg, q, k)
+		}
+	}
+}
+
+// One start told twice with other times up is one start; another number is a new one.
+func TestStartsAreKept(t *testing.T) {
+	c := load(t)
+	apply := func(now float64, line string) Applied {
+		n, err := ParseNews([]byte(line))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c.Apply(now, n)
+	}
+	row := func(a Applied) spool.Member { return a.Events[0].(spool.Members).Rows[0] }
+	if m := row(apply(1000, `{"rev":1,"how":"full","members":[{"id":"b","start":1}]}`)); m.ReadyAt != 0 {
+		t.Fatalf("a member that is up for long is ready at %v", m.ReadyAt)
+	}
+	first := row(apply(5000, `{"rev":2,"how":"delta","members":[{"id":"b","start":2,"up_ms":300}]}`))
+	if first.ReadyAt != 4700 {
+		t.Fatalf("ready at %v", first.ReadyAt)
+	}
+	if again := row(apply(6000, `{"rev":3,"how":"full","members":[{"id":"b","start":2,"up_ms":1290}]}`)); again.ReadyAt != 4700 {
+		t.Fatalf("the same start is now at %v", again.ReadyAt)
+	}
+	if a := apply(6000, `{"rev":2,"how":"full","members":[{"id":"b","start":1}],"purge":{"object":"o"}}`); !a.Old || len(a.Events) != 1 {
+		t.Fatalf("an older version gave %+v", a)
+	}
+	if a := apply(6000, `{"rev":7,"how":"delta","members":[{"id":"c"}]}`); !a.Gap || len(a.Events) != 0 {
+		t.Fatalf("a gap gave %+v", a)
+	}
+	if a := apply(7000, `{"rev":8,"how":"full","members":[]}`); len(a.Events) != 1 {
+		t.Fatalf("%+v", a)
+	}
+	if m, _ := c.Member("b"); m.State != spool.Removed {
+		t.Fatalf("missing from a full list, yet %v", m.State)
+	}
+}
+
+func TestNewsFaults(t *testing.T) {
+	for _, line := range []string{``, `{"rev":1`, `[]`, `{"rev":1}`, `{"rev":1,"how":"some","members":[]}`,
+		`{"rev":1,"members":[{"id":"a"}]}`, `{"rev":1,"how":"full","members":[{"zone":"a"}]}`,
+		`{"rev":1,"how":"full","members":[{"id":"a"},{"id":"a"}]}`,
+		`{"rev":1,"how":"full","members":[{"id":"a","state":"up"}]}`,
+		`{"rev":1,"how":"full","members":[{"id":"a","up_ms":-4}]}`, `{"rev":1,"purge":{"age_ms":-1}}`} {
+		if n, err := ParseNews([]byte(line)); err == nil {
+			t.Errorf("%s was taken as %+v", line, n)
+		}
+	}
+}
+
+// The core asks the module and does what it says: a request for a listed cache
+// gives a Send there, with an address to go to.
+func TestDecisionHasAddress(t *testing.T) {
+	c := load(t)
+	for _, ev := range c.Apply(1, FromSettings(c.Settings)).Events {
+		c.Handle(1, ev, nil)
+	}
+	q, err := c.Classify("r1", 1, head(t, c, "GET /s/7/a.jpg HTTP/1.1\r\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range c.Handle(1, q, nil) {
+		if s, ok := a.(spool.Send); ok {
+			if c.Address(s.Cache) == "" {
+				t.Fatalf("no address for %q", s.Cache)
+			}
+			return
+		}
+	}
+	t.Fatal("no attempt was made")
+}
--- a/internal/fillwire/fillwire.go
+++ b/internal/fillwire/fillwire.go
@@ -48,6 +48,9 @@
 	Join   bool    // may join a fill under way
 	Held   bool    // the source gives only what it holds
 	Renew  bool    // renew an ageing copy behind the answer
+
+	Via   string // of a fill: the cache that asks; empty: a router does
+	Fetch bool   // of a fill: the source may fetch what it lacks from where it is set to
 }
 
 // FromSend is the attempt that an action of the module asks for. Where a copy's
@@ -91,6 +94,12 @@
 	if a.Renew {
 		dst = append(dst, ", renew"...)
 	}
+	if a.Via != "" {
+		dst = appendString(append(dst, ", via="...), a.Via)
+	}
+	if a.Fetch {
+		dst = append(dst, ", fetch"...)
+	}
 	return dst
 }
 
@@ -166,6 +175,10 @@
 			err = set(&a.Held, item)
 		case "renew":
 			err = set(&a.Renew, item)
+		case "via":
+			err = set(&a.Via, item)
+		case "fetch":
+			err = set(&a.Fetch, item)
 		} // others are for later versions: ignored
 		if err != nil {
 			return a, fmt.Errorf("fillwire: %s: member %s: %w", FillField, name, err)
--- /dev/null
+++ b/internal/tap/tap.go
@@ -0,0 +1,167 @@
+// Package tap is the record of what passed on the sockets, as the stand-ins
+// and the clients saw it; rules are judged from it alone (internal/rules). One
+// record is one line of JSON. Times are of the machine's monotonic clock, in
+// ms, so that the records of several processes go into one order.
+//
+// It never holds the router's own word: no router writes to a tap.
+package tap
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+
+	"golang.org/x/sys/unix"
+)
+
+// What a record is of.
+const (
+	Up    = "up"    // a stand-in or a router has started (Who, Start, Addr)
+	Kill  = "kill"  // it was killed, or the day took it away
+	Ask   = "ask"   // a client has written its whole request (Who: router)
+	Head  = "head"  // a client has the answer's head
+	End   = "end"   // a client has the whole answer, or its end: Err says why it is not whole
+	Recv  = "recv"  // a stand-in has the attempt's whole head
+	Sent  = "sent"  // a stand-in has answered it, before the first byte of the body
+	Done  = "done"  // and after the last
+	Ran   = "ran"   // the origin ran a write
+	Told  = "told"  // the list service has written news to a router (Who: router)
+	Purge = "purge" // a purge was made at the origin
+	Fault = "fault" // a trouble begins or ends (Note)
+)
+
+// Record is one thing seen.
+type Record struct {
+	T    float64 `json:"t"`
+	Ev   string  `json:"ev"`
+	Who  string  `json:"who,omitempty"` // member or router that it is about
+	Role string  `json:"role,omitempty"`
+	Addr string  `json:"addr,omitempty"`
+
+	Start int64  `json:"start,omitempty"` // of a member: number of its start
+	Cold  bool   `json:"cold,omitempty"`  // of up: it starts cold
+	ID    string `json:"id,omitempty"`    // of a client's request
+	Req   string `json:"req,omitempty"`   // the router's name of it
+	N     int    `json:"n,omitempty"`     // attempt
+	From  string `json:"from,omitempty"`  // router that sent the attempt
+	Via   string `json:"via,omitempty"`   // cache that sent the fill
+	Src   string `json:"src,omitempty"`   // source named
+	Class string `json:"class,omitempty"`
+
+	Object string  `json:"obj,omitempty"`
+	Group  int     `json:"group,omitempty"`
+	Key    string  `json:"key,omitempty"` // Idempotency-Key
+	Write  bool    `json:"write,omitempty"`
+	Work   float64 `json:"work,omitempty"` // sending time, ms
+	Limit  float64 `json:"limit,omitempty"`
+	State  string  `json:"state,omitempty"` // of told: of the member Src
+
+	Status int     `json:"status,omitempty"`
+	Ver    int64   `json:"ver,omitempty"`
+	Born   float64 `json:"born,omitempty"` // of the copy served, on this clock
+	Bytes  int64   `json:"bytes,omitempty"`
+	Hit    bool    `json:"hit,omitempty"`
+	Err    string  `json:"err,omitempty"`
+	Note   string  `json:"note,omitempty"`
+	Retry  int     `json:"retry,omitempty"` // of ask: which try of the client's this is
+}
+
+// Now is the tap's clock.
+func Now() float64 {
+	var ts unix.Timespec
+	unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts) // cannot fail with this clock
+	return float64(ts.Sec)*1e3 + float64(ts.Nsec)/1e6
+}
+
+// Writer takes records from many goroutines. Each record is one write, so that
+// a process killed at any time leaves whole lines but for the last.
+type Writer struct {
+	mu  sync.Mutex
+	w   io.Writer
+	rec []Record // where w is nil: kept
+	err error
+}
+
+// NewWriter writes to w; nil keeps the records in memory, see Records.
+func NewWriter(w io.Writer) *Writer { return &Writer{w: w} }
+
+// Add writes a record; its time is now where none is given. A nil Writer takes
+// nothing.
+func (w *Writer) Add(r Record) {
+	if w == nil {
+		return
+	}
+	if r.T == 0 {
+		r.T = Now()
+	}
+	if w.w == nil {
+		w.mu.Lock()
+		w.rec = append(w.rec, r)
+		w.mu.Unlock()
+		return
+	}
+	line, err := json.Marshal(r)
+	if err == nil {
+		line = append(line, '\n')
+		w.mu.Lock()
+		_, err = w.w.Write(line)
+		w.mu.Unlock()
+	}
+	if err != nil {
+		w.mu.Lock()
+		if w.err == nil {
+			w.err = fmt.Errorf("tap: %w", err)
+		}
+		w.mu.Unlock()
+	}
+}
+
+// Err is the first error of writing.
+func (w *Writer) Err() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
+// Records returns what was kept, in the order of time.
+func (w *Writer) Records() []Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := append([]Record(nil), w.rec...)
+	Sort(out)
+	return out
+}
+
+// Sort puts records into the order of time; those of one time stay as they are.
+func Sort(recs []Record) {
+	sort.SliceStable(recs, func(i, j int) bool { return recs[i].T < recs[j].T })
+}
+
+// Read reads records. A line cut short at the very end is passed over, as a
+// killed process leaves it; any other fault is an error with its line.
+func Read(r io.Reader) ([]Record, error) {
+	var out []Record
+	br := bufio.NewReaderSize(r, 1<<16)
+	for n := 1; ; n++ {
+		line, err := br.ReadBytes('\n')
+		if len(line) > 0 && (err == nil || err == io.EOF) {
+			var rec Record
+			if jerr := json.Unmarshal(line, &rec); jerr != nil {
+				if err == io.EOF {
+					return out, nil
+				}
+				return out, fmt.Errorf("tap: line %d is no record: %w", n, jerr)
+			}
+			out = append(out, rec)
+		}
+		if err == io.EOF {
+			return out, nil
+		}
+		if err != nil {
+			return out, fmt.Errorf("tap: line %d: %w", n, err)
+		}
+	}
+}
