--- /dev/null
+++ b/internal/standin/mangle.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+)
+
+// mangled answers with one of the faults of the wire, where one acts, on the
+// bare connection.
+func (v *visit) mangled(version, size int64) bool {
+	kind := ""
+	for _, k := range []string{ResetBody, Truncated, Overlong, Garbage, TwoLengths, BothFrames, BareLF, BigHead, Trickle} {
+		if v.s.f.on(k) {
+			kind = k
+			break
+		}
+	}
+	if kind == "" {
+		return false
+	}
+	h, ok := v.w.(interface {
+		Hijack() (net.Conn, *bufio.ReadWriter, error)
+	})
+	if !ok {
+		return false
+	}
+	c, _, err := h.Hijack()
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	var head strings.Builder
+	for name, vals := range v.w.Header() {
+		for _, val := range vals {
+			if name != "Content-Length" {
+				fmt.Fprintf(&head, "%s: %s\r\n", name, val)
+			}
+		}
+	}
+	fields := head.String()
+	body := make([]byte, size)
+	Content(body, v.key, version, 0)
+	say := func(format string, a ...any) { fmt.Fprintf(c, format, a...) }
+	whole := func() { say("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", fields, size) }
+	switch kind {
+	case ResetBody:
+		whole()
+		c.Write(body[:size/2])
+		time.Sleep(5 * time.Millisecond)
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+	case Truncated:
+		whole()
+		c.Write(body[:size/2])
+	case Overlong:
+		whole()
+		c.Write(body)
+		say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxxx")
+	case Garbage:
+		say("\x16\x03\x01 what is this\x00\r\n\r\n")
+	case TwoLengths:
+		say("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\nContent-Length: %d\r\n\r\n", fields, size, size+1)
+		c.Write(body)
+	case BothFrames:
+		say("HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", fields, size)
+		c.Write(body)
+		say("\r\n0\r\n\r\n")
+	case BareLF:
+		say("HTTP/1.1 200 OK\n%sContent-Length: %d\n\n", strings.ReplaceAll(fields, "\r", ""), size)
+		c.Write(body)
+	case BigHead:
+		say("HTTP/1.1 200 OK\r\n%sX-Fill: %s\r\nContent-Length: %d\r\n\r\n", fields, strings.Repeat("x", 64<<10), size)
+		c.Write(body)
+	case Trickle:
+		whole()
+		for i := range body {
+			if _, err := c.Write(body[i : i+1]); err != nil {
+				return true
+			}
+			select {
+			case <-v.s.done:
+				return true
+			case <-time.After(time.Second):
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,497 @@
+// Package standin is what the router is proved against: caches (boxes and
+// parents), the origin, the list service and clients, with the faults that a
+// day injects into them. All of them write what they see to a tap.
+//
+// They read and write HTTP with Go's net/http and not with internal/http1, so
+// that the router's parser is judged by another one. They decide nothing of a
+// router's: a cache does what Spool-Fill says, as docs/protocol.md defines it.
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"indigospool/internal/box"
+	"indigospool/internal/fillwire"
+	"indigospool/internal/tap"
+)
+
+// Class is what a stand-in knows of a class of requests.
+type Class struct {
+	Name   string  `json:"name"`
+	KB     float64 `json:"kb"`    // mean size
+	Fresh  float64 `json:"fresh"` // ms; 0: until purged
+	Write  bool    `json:"write"`
+	Window float64 `json:"window"` // of guarded writes: repeats are dropped for so long, ms
+}
+
+// Config is what a cache, parent or origin is.
+type Config struct {
+	ID       string   `json:"id"`
+	Role     string   `json:"role"` // box, parent or origin
+	Zone     string   `json:"zone"`
+	Listen   string   `json:"listen"`   // 127.0.0.1:0 where empty
+	Upstream string   `json:"upstream"` // of a parent: the origin's address
+	Start    int64    `json:"start"`    // number of this start
+	Cold     bool     `json:"cold"`
+	Bytes    int64    `json:"bytes"`
+	Capacity float64  `json:"capacity"` // sending time, ms a ms
+	Flow     float64  `json:"flow"`     // KB a ms of one transfer to a client
+	FillFlow float64  `json:"fill_flow"`
+	LinkIn   float64  `json:"link_in"` // KB a ms; 0: no limit
+	Latency  float64  `json:"latency"` // ms before each answer, of a source
+	MaxFills int      `json:"max_fills"`
+	FillWait float64  `json:"fill_wait"` // a fill is given up when nothing has come for so long
+	RunOn    bool     `json:"run_on"`    // a fill whose client has left runs on
+	ColdFrom float64  `json:"cold_from"`
+	ColdTime float64  `json:"cold_time"`
+	Fall     float64  `json:"fall"`
+	FallTime float64  `json:"fall_time"`
+	Limit    int      `json:"limit"` // of an origin: requests at once, more are refused; 0: none
+	Classes  []Class  `json:"classes"`
+	Seed     uint64   `json:"seed"`
+	Feedback []string `json:"feedback"` // inflight, util, x0, x1
+}
+
+func (c *Config) fill() {
+	if c.Listen == "" {
+		c.Listen = "127.0.0.1:0"
+	}
+	if c.Flow <= 0 {
+		c.Flow = 4
+	}
+	if c.FillFlow <= 0 {
+		c.FillFlow = 3 * c.Flow
+	}
+	if c.FillWait <= 0 {
+		c.FillWait = 2000
+	}
+	if c.Bytes <= 0 {
+		c.Bytes = 64 << 20
+	}
+	if c.Start == 0 {
+		c.Start = 1
+	}
+	if c.FallTime <= 0 {
+		c.FallTime = 3000
+	}
+}
+
+// Server is a running stand-in.
+type Server struct {
+	cfg    Config
+	tap    *tap.Writer
+	f      *faults
+	ln     net.Listener
+	http   *http.Server
+	client *http.Client
+	out    *Link // to clients
+	in     *Link // fills from outside
+	done   chan struct{}
+	once   sync.Once
+
+	mu       sync.Mutex
+	box      *box.Box
+	flights  map[string]*flight
+	classes  map[string]Class
+	inflight int
+	hits     float64 // recent share
+	origin   *origin
+}
+
+// Start begins to serve.
+func Start(cfg Config, w *tap.Writer) (*Server, error) {
+	cfg.fill()
+	s := &Server{cfg: cfg, tap: w, f: newFaults(cfg.Seed), done: make(chan struct{}),
+		flights: map[string]*flight{}, classes: map[string]Class{}}
+	for _, c := range cfg.Classes {
+		s.classes[c.Name] = c
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("standin %s: %w", cfg.ID, err)
+	}
+	s.ln = ln
+	s.box = box.New(box.Settings{Name: cfg.ID, Bytes: cfg.Bytes, Capacity: cfg.Capacity, ColdFrom: cfg.ColdFrom,
+		ColdTime: cfg.ColdTime, FallFactor: cfg.Fall, FallTime: cfg.FallTime, MaxFills: cfg.MaxFills},
+		tap.Now(), !cfg.Cold)
+	s.out = NewLink(func() float64 {
+		if cfg.Capacity <= 0 {
+			return 0
+		}
+		return s.box.Capacity(tap.Now()) * cfg.Flow / s.f.slowness()
+	})
+	s.in = NewLink(func() float64 { return cfg.LinkIn })
+	if cfg.Role == "origin" {
+		s.origin = newOrigin()
+	}
+	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true,
+		IdleConnTimeout: 5 * time.Second, ResponseHeaderTimeout: time.Duration(cfg.FillWait) * time.Millisecond,
+		DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext}}
+	s.http = &http.Server{Handler: s, IdleTimeout: 5 * time.Minute}
+	s.tap.Add(tap.Record{Ev: tap.Up, Who: cfg.ID, Role: cfg.Role, Addr: ln.Addr().String(), Start: cfg.Start,
+		Cold: cfg.Cold, Work: cfg.Capacity, Note: cfg.Zone})
+	go s.http.Serve(&gatedListener{Listener: ln, f: s.f, done: s.done})
+	return s, nil
+}
+
+// Addr is where it serves.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// ID is its name.
+func (s *Server) ID() string { return s.cfg.ID }
+
+// Fault makes the stand-in suffer.
+func (s *Server) Fault(x Fault) error { return s.f.set(tap.Now(), x) }
+
+// Purge drops the copies that are older than made, a time on the tap's clock.
+// The origin makes a new version instead, and says itself when: the time is
+// returned, and is what caches and routers are told.
+func (s *Server) Purge(object string, group int, made float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.origin == nil {
+		s.box.Purge(object, group, made)
+		return made
+	}
+	s.origin.purge(object, group)
+	rec := tap.Record{T: tap.Now(), Ev: tap.Purge, Who: s.cfg.ID, Object: object, Group: group}
+	s.tap.Add(rec)
+	return rec.T
+}
+
+// Held is what a cache holds.
+func (s *Server) Held() (bytes int64, copies int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.box.Held()
+}
+
+// Kill ends it as SIGKILL would: connections are reset, nothing is finished.
+func (s *Server) Kill() {
+	s.once.Do(func() {
+		close(s.done)
+		s.http.Close()
+		s.client.CloseIdleConnections()
+	})
+}
+
+// ServeHTTP takes an attempt, or a word of control from the day.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/-/") && r.Header.Get(fillwire.FillField) == "" {
+		s.control(w, r)
+		return
+	}
+	a, err := fillwire.ParseAttempt(r.Header.Values(fillwire.FillField))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	key := r.URL.RequestURI()
+	if rg := r.Header.Get("Range"); rg != "" {
+		key += " " + rg
+	}
+	class := s.classes[a.Class]
+	v := &visit{s: s, w: w, r: r, a: a, key: key, class: class}
+	v.rec = tap.Record{Who: s.cfg.ID, Role: s.cfg.Role, Start: s.cfg.Start, Req: a.ID, N: a.Number, From: a.From,
+		Via: a.Via, Src: a.Source, Class: a.Class, Object: a.Object, Group: a.Group,
+		Key: r.Header.Get(fillwire.KeyField), Write: r.Method != "GET" && r.Method != "HEAD",
+		ID: r.Header.Get("X-Request-Id")}
+	v.rec.Work = class.KB / s.cfg.Flow
+	if s.cfg.Role == "parent" {
+		v.rec.Work = float64(SizeOf(key, class.KB)) / 1024 / s.cfg.Flow
+	}
+	recv := v.rec
+	recv.Ev, recv.Note = tap.Recv, "look"
+	if a.Source != "" || a.Fetch {
+		recv.Note = "fill"
+	}
+	s.tap.Add(recv)
+	s.mu.Lock()
+	s.inflight++
+	fallen := s.box.Arrive(tap.Now(), v.rec.Work)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.inflight--
+		s.mu.Unlock()
+	}()
+	if fallen {
+		v.reset()
+		return
+	}
+	v.serve()
+}
+
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	var err error
+	switch r.URL.Path {
+	case "/-/fault":
+		var x Fault
+		if err = json.NewDecoder(r.Body).Decode(&x); err == nil {
+			err = s.Fault(x)
+		}
+	case "/-/purge":
+		var x struct {
+			Object string  `json:"object"`
+			Group  int     `json:"group"`
+			Made   float64 `json:"made"`
+		}
+		if err = json.NewDecoder(r.Body).Decode(&x); err == nil {
+			x.Made = s.Purge(x.Object, x.Group, x.Made)
+			json.NewEncoder(w).Encode(x)
+			return
+		}
+	case "/-/state":
+		bytes, copies := s.Held()
+		s.mu.Lock()
+		state := map[string]any{"id": s.cfg.ID, "role": s.cfg.Role, "bytes": bytes, "copies": copies,
+			"fallen": s.box.Fallen(), "warmth": s.box.Warmth(tap.Now()), "hits": s.box.Hits, "misses": s.box.Misses,
+			"fills": s.box.Filling(), "inflight": s.inflight, "in_bytes": s.in.Bytes(), "out_bytes": s.out.Bytes()}
+		s.mu.Unlock()
+		json.NewEncoder(w).Encode(state)
+		return
+	default:
+		http.NotFound(w, r)
+		return
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// load is the report in the order of the settings' feedback.
+func (s *Server) load() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var v []float64
+	for _, name := range s.cfg.Feedback {
+		switch name {
+		case "inflight":
+			v = append(v, float64(s.inflight))
+		case "x0":
+			v = append(v, s.hits)
+		case "x1":
+			v = append(v, float64(s.box.Filling()))
+		default:
+			v = append(v, min(float64(s.inflight)/max(s.cfg.Capacity, 1), 1))
+		}
+	}
+	return fillwire.FormatLoad(v)
+}
+
+// visit is one attempt at a stand-in.
+type visit struct {
+	s     *Server
+	w     http.ResponseWriter
+	r     *http.Request
+	a     fillwire.Attempt
+	key   string
+	class Class
+	rec   tap.Record
+}
+
+func (v *visit) reset() {
+	if c, _, err := v.w.(http.Hijacker).Hijack(); err == nil {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// serve does what the attempt asks, under the faults of the moment.
+func (v *visit) serve() {
+	s, ctx := v.s, v.r.Context()
+	if s.f.gate(ctx) != nil {
+		return
+	}
+	if s.f.on(FastErrors) {
+		v.refuse(http.StatusInternalServerError, fillwire.Handled{Fwd: "miss"})
+		return
+	}
+	lost := s.f.on(AnswerLost)
+	if lost {
+		v.w = &lostWriter{header: http.Header{}, ctx: ctx}
+	}
+	if lat := s.cfg.Latency * s.f.slowness(); lat > 0 {
+		if sleepUntil(ctx, tap.Now()+lat) != nil {
+			return
+		}
+	}
+	switch {
+	case s.origin != nil:
+		v.atOrigin()
+	case v.rec.Write:
+		v.passWrite()
+	default:
+		v.atCache()
+	}
+	if lost { // the work is done, and nobody hears of it
+		select {
+		case <-ctx.Done():
+		case <-s.done:
+		case <-time.After(time.Minute):
+		}
+		v.reset()
+	}
+}
+
+// lostWriter takes an answer that never reaches anyone.
+type lostWriter struct {
+	header http.Header
+	ctx    context.Context
+}
+
+func (l *lostWriter) Header() http.Header         { return l.header }
+func (l *lostWriter) Write(b []byte) (int, error) { return len(b), l.ctx.Err() }
+func (l *lostWriter) WriteHeader(int)             {}
+func (l *lostWriter) Flush()                      {}
+func (l *lostWriter) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	return nil, nil, http.ErrNotSupported
+}
+
+func (v *visit) refuse(status int, h fillwire.Handled) {
+	h.Cache = v.s.cfg.ID
+	v.w.Header().Set(fillwire.StatusField, h.String())
+	v.w.Header().Set(fillwire.LoadField, v.s.load())
+	rec := v.rec
+	rec.Ev, rec.Status, rec.Note = tap.Sent, status, h.Detail
+	v.s.tap.Add(rec)
+	v.w.Header().Set("Content-Length", "0")
+	v.w.WriteHeader(status)
+}
+
+func (v *visit) atCache() {
+	s := v.s
+	now := tap.Now()
+	age := v.a.Age
+	if age <= 0 {
+		age = 1e15
+	}
+	if v.class.Fresh > 0 && v.a.Age <= 0 {
+		age = v.class.Fresh
+	}
+	if v.r.Method == "HEAD" { // answered as GET is, without the body
+		v.rec.Note = "head"
+	}
+	s.mu.Lock()
+	c := s.box.Find(now, v.key, age, v.a.Keep)
+	hit := 0.0
+	if c != nil {
+		hit = 1
+	}
+	s.hits += (hit - s.hits) * 0.02
+	if c != nil {
+		held := *c
+		ageing := v.a.Renew && held.Fresh > 0 && now-held.Born > 0.8*held.Fresh
+		s.mu.Unlock()
+		h := fillwire.Handled{Cache: s.cfg.ID, Hit: true}
+		if held.Fresh > 0 {
+			h.HasTTL, h.TTL = true, (held.Fresh-(now-held.Born))/1000
+			if h.TTL < 0 {
+				h.TTL = min(h.TTL, -1)
+			}
+		}
+		if ageing && v.a.Source != "" {
+			go v.detached().fetch(v.a, nil)
+		}
+		v.send(held.Version, held.Born, held.Bytes, h, nil)
+		return
+	}
+	fl := s.flights[v.key]
+	s.mu.Unlock()
+	if v.a.Source == "" && !v.a.Fetch { // a look
+		v.refuse(http.StatusGatewayTimeout, fillwire.Handled{Fwd: "miss", Joined: fl != nil})
+		return
+	}
+	if fl != nil && v.a.Join {
+		v.follow(fl, true)
+		return
+	}
+	if fl = v.fetch(v.a, v.r.Context()); fl != nil {
+		v.follow(fl, false)
+	}
+}
+
+// send answers with a copy; fl is the fill that it comes from, or nil.
+func (v *visit) send(version int64, born float64, size int64, h fillwire.Handled, fl *flight) {
+	s := v.s
+	head := v.w.Header()
+	status := h.String()
+	if fl != nil && fl.behind != "" {
+		status = fl.behind + ", " + status
+	}
+	now := tap.Now()
+	head.Set(fillwire.StatusField, status)
+	head.Set(fillwire.LoadField, s.load())
+	head.Set(fillwire.CopyField, fillwire.Version{V: version, Age: max(now-born, 0)}.String())
+	head.Set("Age", strconv.Itoa(int(max(now-born, 0)/1000)))
+	head.Set("Content-Type", "application/octet-stream")
+	head.Set("Content-Length", strconv.FormatInt(size, 10))
+	rec := v.rec
+	rec.Ev, rec.Status, rec.Ver, rec.Born, rec.Bytes, rec.Hit = tap.Sent, 200, version, born, size, h.Hit
+	s.tap.Add(rec)
+	if v.r.Method == "HEAD" {
+		v.w.WriteHeader(http.StatusOK)
+		return
+	}
+	if v.mangled(version, size) {
+		return
+	}
+	v.w.WriteHeader(http.StatusOK)
+	v.body(version, size, fl)
+}
+
+const chunk = 16 << 10
+
+// body sends the bytes at the pace of the transfer, the cache's link and the
+// fill behind it.
+func (v *visit) body(version, size int64, fl *flight) {
+	s, ctx := v.s, v.r.Context()
+	buf := make([]byte, chunk)
+	flush, _ := v.w.(http.Flusher)
+	flow := s.cfg.Flow
+	if v.a.Via != "" {
+		flow = s.cfg.FillFlow
+	}
+	pace := tap.Now()
+	for off := int64(0); off < size; {
+		n := int(min(chunk, size-off))
+		if fl != nil {
+			got, err := fl.wait(ctx, off+int64(n))
+			if err != nil {
+				v.reset()
+				return
+			}
+			n = int(min(int64(n), got-off))
+		}
+		if s.f.gate(ctx) != nil {
+			return
+		}
+		pace = max(pace, tap.Now()-20) + float64(n)/1024/flow*s.f.slowness()
+		if s.out.Pass(ctx, n) != nil || sleepUntil(ctx, pace) != nil {
+			return
+		}
+		Content(buf[:n], v.key, version, off)
+		if _, err := v.w.Write(buf[:n]); err != nil {
+			return
+		}
+		if off += int64(n); flush != nil && off < size {
+			flush.Flush()
+		}
+	}
+	rec := v.rec
+	rec.Ev, rec.Bytes = tap.Done, size
+	s.tap.Add(rec)
+}
