--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -63,6 +63,7 @@
 	SecondCopies   bool    `edn:"second-copies"`
 	ListBackoff    float64 `edn:"list-backoff" def:"200" min:"1"` // first wait before the list service is called again; doubles to 32 times
 	ListLine       int     `edn:"list-line" def:"4194304" min:"4096"`
+	HalfClose      bool    `edn:"half-close"`                    // a client that has closed its side still waits for its answer
 	NoCancel       bool    `edn:"no-cancel"`                     // members go on with what was given up
 	TimerGrain     float64 `edn:"tick" def:"5" min:"0.1"`        // how early a deadline is met, half of it
 	AnswerSlack    float64 `edn:"answer-slack" def:"50" min:"0"` // a client's wait past its deadline
--- /dev/null
+++ b/internal/edge/admin.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	spool "indigospool"
+	"indigospool/internal/core"
+)
+
+// admin serves operators on a loopback address or a Unix socket, by goroutines
+// of its own: PURGE of an object (or of a group by ?group=), /state and /members.
+func (e *Edge) admin() (stop func(), err error) {
+	network, address := "tcp", e.s.Router.Admin
+	if strings.HasPrefix(address, "/") {
+		network = "unix"
+		if st, err := os.Stat(address); err == nil && st.Mode()&os.ModeSocket != 0 {
+			os.Remove(address) // of an earlier life
+		}
+	}
+	ln, err := net.Listen(network, address)
+	if err != nil {
+		return nil, fmt.Errorf("edge: admin listener %s: %w", address, err)
+	}
+	e.adminAddr.Store(ln.Addr().String())
+	mux := http.NewServeMux()
+	mux.HandleFunc("PURGE /", e.adminPurge)
+	mux.HandleFunc("GET /state", e.adminState)
+	mux.HandleFunc("GET /members", e.adminMembers)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go srv.Serve(ln)
+	return func() { srv.Close() }, nil
+}
+
+// AdminAddr is where operators reach the router, once it runs.
+func (e *Edge) AdminAddr() string {
+	s, _ := e.adminAddr.Load().(string)
+	return s
+}
+
+func (e *Edge) adminPurge(w http.ResponseWriter, r *http.Request) {
+	p := &core.PurgeNews{Object: r.URL.Path}
+	if g := r.URL.Query().Get("group"); g != "" {
+		p = &core.PurgeNews{Group: core.Group(g)}
+	}
+	if err := e.Query(func(*Stats, *core.Core) { e.news(&core.News{Purge: p}) }); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func reply(w http.ResponseWriter, err error, v any) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
+func (e *Edge) adminState(w http.ResponseWriter, _ *http.Request) {
+	out := map[string]any{}
+	err := e.Query(func(s *Stats, c *core.Core) {
+		out["name"], out["stats"], out["list_rev"], out["lag_ms"] = e.name, *s, c.Rev(), e.l.Lag()
+		out["draining"], out["timers"] = e.draining, e.l.Timers()
+	})
+	out["list"], out["log_dropped"] = e.listState.Load(), strconv.FormatUint(e.log.Dropped(), 10)
+	reply(w, err, out)
+}
+
+func (e *Edge) adminMembers(w http.ResponseWriter, _ *http.Request) {
+	type row struct {
+		ID, Zone, Kind, State, Address string
+		Idle, Open, Waiting            int
+	}
+	rows := []row{}
+	states := map[spool.State]string{spool.Serving: "serving", spool.Draining: "draining", spool.Removed: "removed"}
+	err := e.Query(func(_ *Stats, c *core.Core) {
+		c.Members(func(m spool.Member, address string) {
+			one := row{ID: m.ID, Zone: m.Zone, Kind: m.Kind, State: states[m.State], Address: address}
+			if p := e.pools[address]; p != nil {
+				one.Idle, one.Open, one.Waiting = len(p.idle), len(p.all), len(p.wait)
+			}
+			rows = append(rows, one)
+		})
+	})
+	sort.Slice(rows, func(i, j int) bool { return rows[i].ID < rows[j].ID })
+	reply(w, err, rows)
+}
--- /dev/null
+++ b/internal/edge/client.go
@@ -0,0 +1,645 @@
+package edge
+
+import (
+	"golang.org/x/sys/unix"
+
+	spool "indigospool"
+	"indigospool/internal/core"
+	"indigospool/internal/http1"
+	"indigospool/internal/loop"
+)
+
+// client is a client's connection. Between requests it holds no buffer.
+type client struct {
+	e    *Edge
+	fd   int
+	left []byte // read, and not yet taken
+	out  outq   // answered, and not yet written
+	idle loop.Timer
+	cur  *request // in hand; nil between requests
+
+	gone    bool // closed
+	eof     bool // the client sends no more
+	stalled bool // it has taken nothing since the idle timer was armed
+	last    bool // the connection ends with the present answer
+	linger  bool // a fault was answered: what still comes is dropped
+	reading bool // a request has begun to come and is not whole
+	paused  bool // pipelined bytes reached the limit
+}
+
+// What is read ahead and answered is bounded by the settings; these are how
+// much is read at once.
+const readSize = 64 << 10
+
+func (c *client) OnReady(r loop.Ready) {
+	if r.Writable() && c.out.len() > 0 {
+		c.flush()
+	}
+	if !c.gone && r.Readable() {
+		c.read(r)
+	}
+}
+
+func (c *client) read(r loop.Ready) {
+	buf := c.e.scratch[:readSize]
+	n, err := unix.Read(c.fd, buf)
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		if r.Hangup() {
+			c.lost()
+		}
+		return
+	case err != nil:
+		c.lost()
+		return
+	case n == 0:
+		c.onEOF()
+		return
+	case c.linger:
+		return
+	}
+	c.e.stats.InBytes += uint64(n)
+	data := buf[:n]
+	if len(c.left) > 0 || c.cur != nil && c.cur.phase != takingBody {
+		c.left = append(c.left, data...)
+		if c.cur == nil || c.cur.phase == takingBody {
+			c.takeLeft()
+			return
+		}
+		if len(c.left) >= c.e.s.Limits.Pipelined {
+			c.paused = true
+			c.wants()
+		}
+		return
+	}
+	rest := c.take(data)
+	if !c.gone && len(rest) > 0 {
+		c.left = append(c.left[:0], rest...)
+	}
+}
+
+// takeLeft takes what was read before.
+func (c *client) takeLeft() {
+	if len(c.left) == 0 {
+		return
+	}
+	data := c.left
+	c.left = nil
+	rest := c.take(data)
+	if c.gone {
+		return
+	}
+	if len(rest) > 0 {
+		c.left = append(data[:0], rest...)
+	}
+	if c.paused && len(c.left) < c.e.s.Limits.Pipelined {
+		c.paused = false
+		c.wants()
+	}
+}
+
+// take takes requests from data until one is in hand, and returns what is left.
+func (c *client) take(data []byte) []byte {
+	for len(data) > 0 && !c.gone && !c.linger {
+		if c.cur != nil {
+			if c.cur.phase != takingBody {
+				return data
+			}
+			n, err := c.cur.takeBody(data)
+			if data = data[n:]; err != nil {
+				c.fault(err)
+				return nil
+			}
+			if c.cur != nil && c.cur.phase == takingBody {
+				return data // more has to come
+			}
+			continue
+		}
+		if c.last {
+			c.linger = true // the connection ends here: what follows is not looked at
+			return nil
+		}
+		if c.out.len() > 0 {
+			return data // a slow client's earlier answer goes first
+		}
+		if !c.reading {
+			c.reading = true
+			c.e.l.Arm(&c.idle, c.e.s.Limits.HeadTime)
+		}
+		n, err := c.e.core.Parse(data, &c.e.head)
+		if err != nil {
+			c.fault(err)
+			return nil
+		}
+		if n == 0 {
+			return data
+		}
+		data = data[n:]
+		c.begin()
+	}
+	return data
+}
+
+// begin takes the request whose head has come.
+func (c *client) begin() {
+	e := c.e
+	h := &e.head
+	e.stats.Requests++
+	r := &request{e: e, c: c, at: e.l.Now(), isHead: h.IsHead(), minor: h.Minor}
+	c.cur = r
+	c.last = c.last || h.Close || e.draining
+	q, err := e.core.Classify("", r.at, h)
+	r.q = q
+	if err != nil {
+		t, ok := err.(*core.Turndown)
+		if !ok {
+			t = &core.Turndown{Status: 400, What: err.Error()}
+		}
+		r.path = string(clip(h.Target, 256))
+		c.skipBody(h)
+		r.why = endNoRoute
+		c.answer(r, t.Status, 0)
+		return
+	}
+	if len(e.reqs) >= e.s.Limits.Held {
+		c.skipBody(h)
+		r.why = endHeld
+		c.answer(r, 503, 1000)
+		return
+	}
+	r.compose(h)
+	if err := r.body.Start(h, int64(e.s.Limits.Body)); err != nil {
+		c.fault(err)
+		return
+	}
+	if !r.body.Done() {
+		r.phase = takingBody
+		if h.Expect100 {
+			c.write(continueAnswer)
+		}
+		return
+	}
+	r.ask()
+}
+
+// skipBody ends the connection after an answer to a request whose body is not read.
+func (c *client) skipBody(h *http1.Head) {
+	if h.Body != http1.NoBody {
+		c.last, c.linger = true, true
+	}
+}
+
+// clip returns at most n bytes.
+func clip(b []byte, n int) []byte { return b[:min(len(b), n)] }
+
+// fault answers what is not valid, and ends the connection.
+func (c *client) fault(err error) {
+	f, ok := err.(*http1.Fault)
+	if !ok {
+		f = http1.ErrRequestLine
+	}
+	c.e.stats.Malformed++
+	r := c.cur
+	if r == nil {
+		r = &request{e: c.e, c: c, at: c.e.l.Now(), minor: 1}
+		c.cur = r
+	}
+	r.why, r.path = endMalformed, f.What
+	c.last, c.linger = true, true
+	c.left = nil
+	c.answer(r, f.Status, 0)
+}
+
+// answer gives a final answer of the router's own.
+func (c *client) answer(r *request, status int, after float64) {
+	r.status = status
+	b := c.out.grow()
+	b = http1.AppendStatus(b, status)
+	b = http1.AppendFieldString(b, "Via", "1.1 "+c.e.name)
+	if status == 405 {
+		b = http1.AppendFieldString(b, "Allow", "GET, HEAD")
+	}
+	if after > 0 {
+		b = http1.AppendFieldInt(b, "Retry-After", int64((after+999)/1000))
+	}
+	b = http1.AppendFieldString(b, "Cache-Status", c.e.name+"; fwd=miss; detail="+r.why.word())
+	text := http1.Reason(status) + "\n"
+	b = http1.AppendFieldString(b, "Content-Type", "text/plain")
+	b = http1.AppendFieldInt(b, "Content-Length", int64(len(text)))
+	b = c.appendConnection(b, r)
+	b = append(b, "\r\n"...)
+	if !r.isHead {
+		b = append(b, text...)
+	}
+	c.out.set(b)
+	r.sent += int64(len(text))
+	r.finish()
+}
+
+// appendConnection says whether the connection persists.
+func (c *client) appendConnection(b []byte, r *request) []byte {
+	switch {
+	case c.last:
+		return http1.AppendFieldString(b, "Connection", "close")
+	case r.minor == 0:
+		return http1.AppendFieldString(b, "Connection", "keep-alive")
+	}
+	return b
+}
+
+// write writes at once what the socket takes, and keeps the rest.
+func (c *client) write(b []byte) {
+	if c.gone {
+		return
+	}
+	if c.out.len() == 0 {
+		n, err := unix.Write(c.fd, b)
+		if err == unix.EAGAIN || err == unix.EINTR {
+			n, err = 0, nil
+		}
+		if err != nil {
+			c.lost()
+			return
+		}
+		c.e.stats.OutBytes += uint64(n)
+		c.stalled = c.stalled && n == 0
+		if b = b[n:]; len(b) == 0 {
+			return
+		}
+	}
+	c.out.add(b)
+	c.wants()
+}
+
+// flush writes what waits. It reports whether all of it went out.
+func (c *client) flush() bool {
+	for c.out.len() > 0 && !c.gone {
+		n, err := unix.Write(c.fd, c.out.bytes())
+		if err == unix.EAGAIN || err == unix.EINTR {
+			c.wants()
+			return false
+		}
+		if err != nil {
+			c.lost()
+			return false
+		}
+		c.e.stats.OutBytes += uint64(n)
+		c.stalled = false
+		c.out.take(n)
+	}
+	if c.gone {
+		return false
+	}
+	c.wants()
+	if r := c.cur; r != nil && r.phase == relaying {
+		r.resume()
+		return true
+	}
+	if c.cur == nil {
+		c.next()
+	}
+	return true
+}
+
+// wants tells the loop what is of interest.
+func (c *client) wants() {
+	if c.gone {
+		return
+	}
+	want := loop.Interest(0)
+	if !c.paused && !c.eof {
+		want |= loop.Read
+	}
+	if c.out.len() > 0 {
+		want |= loop.Write
+		if !c.idle.Armed() || !c.stalled {
+			c.stalled = true
+			c.e.l.Arm(&c.idle, c.e.s.Limits.WriteIdle)
+		}
+	}
+	c.e.l.Want(c.fd, want)
+}
+
+// done is called when the present answer is whole, written or waiting.
+func (c *client) done() {
+	c.cur, c.reading = nil, false
+	if c.gone {
+		return
+	}
+	if c.out.len() > 0 {
+		c.flush() // and then goes on
+		return
+	}
+	c.next()
+}
+
+// next goes on to the next request, or ends the connection.
+func (c *client) next() {
+	switch {
+	case c.gone || c.cur != nil:
+	case c.linger:
+		unix.Shutdown(c.fd, unix.SHUT_WR)
+		c.paused = false
+		c.e.l.Arm(&c.idle, c.e.s.Limits.ShutdownLinger)
+		c.wants()
+	case c.last || c.e.draining && len(c.left) == 0 || c.eof && len(c.left) == 0:
+		c.close()
+	default:
+		c.e.l.Arm(&c.idle, c.e.s.Limits.ClientIdle)
+		c.stalled = false
+		if len(c.left) > 0 {
+			c.takeLeft()
+		} else if cap(c.left) > 0 {
+			c.left = nil
+		}
+		if !c.gone && c.cur == nil && c.eof && c.out.len() == 0 {
+			c.close() // what is left will never be whole
+		}
+	}
+}
+
+// drain ends the connection when nothing is in hand.
+func (c *client) drain() {
+	if c.cur == nil && !c.reading && c.out.len() == 0 {
+		c.close()
+		return
+	}
+	c.last = true
+}
+
+func (c *client) onEOF() {
+	c.eof = true
+	switch {
+	case c.linger || c.cur == nil && c.out.len() == 0:
+		c.close()
+	case c.cur != nil && (c.cur.phase == takingBody || !c.e.s.Limits.HalfClose):
+		c.lost()
+	default:
+		c.wants()
+	}
+}
+
+func (c *client) onIdle() {
+	switch {
+	case c.gone:
+	case c.linger:
+		c.close()
+	case c.out.len() > 0:
+		if c.stalled {
+			if c.cur != nil {
+				c.cur.why = endClientSlow
+			}
+			c.lost()
+		}
+	case c.cur != nil && c.cur.phase == takingBody, c.cur == nil && c.reading:
+		c.fault(errTooSlow)
+	case c.cur == nil:
+		c.close()
+	}
+}
+
+var errTooSlow = &http1.Fault{Status: 408, What: "the request did not come whole within the limit"}
+
+// lost ends a connection whose client has gone, or was cut off.
+func (c *client) lost() {
+	if c.gone {
+		return
+	}
+	r := c.cur
+	c.close()
+	if r != nil {
+		r.clientGone()
+	}
+}
+
+func (c *client) close() {
+	if c.gone {
+		return
+	}
+	c.gone = true
+	c.e.l.Disarm(&c.idle)
+	c.e.l.Remove(c.fd)
+	unix.Close(c.fd)
+	delete(c.e.clients, c)
+	c.left, c.out = nil, outq{}
+	if c.e.draining {
+		c.e.checkDrained()
+	}
+}
+
+var (
+	continueAnswer = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+	busyAnswer     = []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n" +
+		"Content-Length: 0\r\n\r\n")
+)
+
+// phase is how far a request has come.
+type phase uint8
+
+const (
+	takingBody phase = iota + 1
+	asked            // the module has it
+	relaying         // an attempt's answer is on its way to the client
+	over
+)
+
+// request is a client's request in hand.
+type request struct {
+	e    *Edge
+	c    *client
+	body http1.Body
+	q    spool.Request
+
+	id      string
+	at      float64
+	phase   phase
+	isHead  bool
+	minor   int
+	fwd     []byte // request line and fields, as sent on
+	content []byte // of a write
+	tries   []*try
+	open    int // tries without an outcome
+	winner  *try
+	known   bool // the module has it
+
+	status int
+	sent   int64
+	why    endWord
+	path   string // of what no class fits
+}
+
+// takeBody takes a write's body, which is held whole so that it can be sent again.
+func (r *request) takeBody(data []byte) (n int, err error) {
+	for n < len(data) && !r.body.Done() {
+		k, content, err := r.body.Next(data[n:])
+		n += k
+		if err != nil {
+			return n, err
+		}
+		r.content = append(r.content, content...)
+		if k == 0 {
+			break
+		}
+	}
+	if r.body.Done() {
+		r.ask()
+	}
+	return n, nil
+}
+
+// compose writes what of the head goes on to caches: all but what is for this
+// connection only, framing, and what the router says itself.
+func (r *request) compose(h *http1.Head) {
+	b := http1.AppendRequestLine(make([]byte, 0, 512), h.Method, h.Path())
+	if h.Host != nil {
+		b = http1.AppendField(b, "Host", h.Host)
+	} else {
+		b = http1.AppendFieldString(b, "Host", r.e.name)
+	}
+	named := h.Has("connection")
+	for i := range h.Fields {
+		f := &h.Fields[i]
+		if http1.HopByHop(f.Name) || ours(f.Name) || named && h.Named(f.Name) {
+			continue
+		}
+		b = append(b, f.Name...)
+		b = append(b, ": "...)
+		b = append(b, f.Value...)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "Via: 1.1 "...)
+	b = append(b, r.e.name...)
+	r.fwd = append(b, "\r\n"...)
+}
+
+// ours reports fields that a client may not set for the caches, or that are
+// written anew.
+func ours(name []byte) bool {
+	switch len(name) {
+	case 4:
+		return http1.EqualFold(name, "host")
+	case 6:
+		return http1.EqualFold(name, "expect")
+	case 10:
+		return http1.EqualFold(name, "spool-fill") || http1.EqualFold(name, "spool-load") || http1.EqualFold(name, "spool-copy")
+	case 13:
+		return http1.EqualFold(name, "cache-control")
+	case 14:
+		return http1.EqualFold(name, "content-length")
+	}
+	return false
+}
+
+// ask gives the request to the module.
+func (r *request) ask() {
+	e := r.e
+	r.phase = asked
+	r.id = e.nextID()
+	r.q.ID = r.id
+	r.known = true
+	e.reqs[r.id] = r
+	e.stats.MostHeld = max(e.stats.MostHeld, len(e.reqs))
+	e.l.Disarm(&r.c.idle)
+	e.tell(r.q)
+}
+
+// clientGone tells the module that nobody waits any more.
+func (r *request) clientGone() {
+	if r.phase == over {
+		return
+	}
+	if r.why == 0 {
+		r.why = endClientGone
+	}
+	r.e.stats.Gone++
+	known := r.known
+	started := r.phase == relaying
+	id := r.id
+	r.finish()
+	if !known {
+		return
+	}
+	r.e.tell(spool.Gone{ID: id})
+	if started && r.winner != nil && !r.winner.done {
+		r.winner.cut(spool.Cancelled)
+	}
+}
+
+// refuse is the module's final answer that a repeat is harmless.
+func (r *request) refuse(after float64) {
+	if r.phase != asked {
+		return
+	}
+	r.e.stats.Refused++
+	r.why = endRefused
+	r.c.answer(r, 503, after)
+}
+
+// fail is the module's final answer that promises nothing.
+func (r *request) fail() {
+	if r.phase != asked {
+		return
+	}
+	r.e.stats.Failed++
+	r.why = endFailed
+	status := 502
+	if r.e.l.Now() >= r.q.Deadline-2*r.e.s.Limits.TimerGrain {
+		status = 504
+	}
+	r.c.answer(r, status, 0)
+}
+
+// finish ends the request for its client; attempts may still be out.
+func (r *request) finish() {
+	if r.phase == over {
+		return
+	}
+	r.phase = over
+	r.e.log.request(r)
+	c := r.c
+	if c.cur == r {
+		c.done()
+	}
+	r.release()
+}
+
+// release forgets a request that is over and has nothing out.
+func (r *request) release() {
+	if r.phase != over || r.open > 0 {
+		return
+	}
+	if r.known {
+		r.known = false
+		delete(r.e.reqs, r.id)
+	}
+}
+
+// outq is what waits to be written.
+type outq struct {
+	buf []byte
+	off int
+}
+
+func (q *outq) len() int      { return len(q.buf) - q.off }
+func (q *outq) bytes() []byte { return q.buf[q.off:] }
+
+func (q *outq) take(n int) {
+	if q.off += n; q.off == len(q.buf) {
+		if cap(q.buf) > 16<<10 {
+			q.buf = nil
+		}
+		q.buf, q.off = q.buf[:0], 0
+	}
+}
+
+func (q *outq) add(b []byte) {
+	if q.off > 0 && len(q.buf)+len(b) > cap(q.buf) {
+		n := copy(q.buf, q.buf[q.off:])
+		q.buf, q.off = q.buf[:n], 0
+	}
+	q.buf = append(q.buf, b...)
+}
+
+// grow lends the buffer to be appended to; set gives it back.
+func (q *outq) grow() []byte { return q.buf }
+func (q *outq) set(b []byte) { q.buf = b }
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,392 @@
+// Package edge is the router program: client and upstream connections on one
+// event loop, which tell the decision module what happens and carry out what
+// it decides. Bytes become events, actions become bytes.
+//
+// It decides nothing about where a request goes, whether it is tried again or
+// when it is given up; that is the module's, reached through internal/core. It
+// keeps to limits that the settings name, and never waits for anything but the
+// loop: the list service and the admin listener run on goroutines of their own
+// and post to it (watch.go, admin.go). client.go and upstream.go hold the two
+// sides of a request; docs/protocol.md what stands on the wire.
+package edge
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+	"indigospool/internal/http1"
+	"indigospool/internal/loop"
+)
+
+// Stats counts what a router has done. They are read from the loop only.
+type Stats struct {
+	Accepted, Connections, Requests, Served, Refused, Failed, Malformed uint64
+	Gone, Broken, Attempts, Connects, Reused, Dropped                   uint64
+	InBytes, OutBytes                                                   uint64
+	Held, Upstreams, MostHeld                                           int
+}
+
+// Edge is one router.
+type Edge struct {
+	s    *config.Settings
+	core *core.Core
+	l    *loop.Loop
+	log  *AccessLog
+	name string
+
+	lfd       int
+	listener  acceptor
+	addr      string
+	clients   map[*client]struct{}
+	reqs      map[string]*request
+	pools     map[string]*pool
+	seq       uint64
+	scratch   []byte
+	acts      []spool.Action
+	queue     []spool.Event
+	telling   bool
+	draining  bool
+	drainT    loop.Timer
+	acceptT   loop.Timer
+	freeWakes []*wake
+	head      http1.Head // of the request that is being taken
+	stats     Stats
+	stopWatch func()
+	stopAdmin func()
+	listState atomic.Value // string: what is known of the list service
+	adminAddr atomic.Value // string
+}
+
+// New makes a router from checked settings; it listens, and serves once Run is called.
+func New(s *config.Settings, log *AccessLog) (*Edge, error) {
+	c, err := core.New(s, uint64(s.Router.Seed))
+	if err != nil {
+		return nil, err
+	}
+	l, err := loop.New(0)
+	if err != nil {
+		return nil, err
+	}
+	e := &Edge{s: s, core: c, l: l, log: log, name: s.Router.Name, clients: map[*client]struct{}{},
+		reqs: map[string]*request{}, pools: map[string]*pool{}, scratch: make([]byte, 256<<10)}
+	e.listState.Store("none")
+	e.drainT.F = e.drained
+	e.acceptT.F = func() { e.l.Want(e.lfd, loop.Read) }
+	if e.lfd, e.addr, err = listen(s.Router.Listen); err != nil {
+		return nil, fmt.Errorf("edge: listen %s: %w; is the address free, and one of this machine?", s.Router.Listen, err)
+	}
+	e.listener.e = e
+	return e, nil
+}
+
+// Addr is where clients reach the router.
+func (e *Edge) Addr() string { return e.addr }
+
+// listen makes a non-blocking listening socket by way of net, for its parsing
+// of addresses, and takes over its descriptor.
+func listen(address string) (int, string, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return -1, "", err
+	}
+	defer ln.Close()
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		return -1, "", err
+	}
+	defer f.Close()
+	fd, err := unix.FcntlInt(f.Fd(), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return -1, "", err
+	}
+	if err := unix.SetNonblock(fd, true); err != nil {
+		unix.Close(fd)
+		return -1, "", err
+	}
+	return fd, ln.Addr().String(), nil
+}
+
+// Run serves until Drain has ended or Stop is called.
+func (e *Edge) Run() error {
+	if err := e.l.Add(e.lfd, loop.Read, &e.listener); err != nil {
+		return err
+	}
+	e.l.Post(func() {
+		if len(e.s.Members) > 0 {
+			e.news(core.FromSettings(e.s))
+		}
+	})
+	if e.s.Router.List != "" {
+		e.stopWatch = e.watch()
+	}
+	if e.s.Router.Admin != "" {
+		stop, err := e.admin()
+		if err != nil {
+			e.l.Stop()
+			e.l.Run()
+			return err
+		}
+		e.stopAdmin = stop
+	}
+	err := e.l.Run()
+	if e.stopWatch != nil {
+		e.stopWatch()
+	}
+	if e.stopAdmin != nil {
+		e.stopAdmin()
+	}
+	e.closeAll()
+	return err
+}
+
+// closeAll closes what the loop's end has left.
+func (e *Edge) closeAll() {
+	for c := range e.clients {
+		unix.Close(c.fd)
+	}
+	for _, p := range e.pools {
+		for u := range p.all {
+			unix.Close(u.fd)
+		}
+	}
+	if e.lfd >= 0 {
+		unix.Close(e.lfd)
+	}
+}
+
+// Stop ends the router at once, from any goroutine.
+func (e *Edge) Stop() { e.l.Stop() }
+
+// Drain ends the router when what it holds is done, or after the settings'
+// limit: no connection is accepted any more, idle ones are closed, and answers
+// under way are finished. It may be called from any goroutine.
+func (e *Edge) Drain() {
+	e.l.Post(func() {
+		if e.draining {
+			return
+		}
+		e.draining = true
+		e.l.Remove(e.lfd)
+		unix.Close(e.lfd)
+		e.lfd = -1
+		e.l.Arm(&e.drainT, e.s.Limits.Drain)
+		for c := range e.clients {
+			c.drain()
+		}
+		e.checkDrained()
+	})
+}
+
+func (e *Edge) checkDrained() {
+	if e.draining && len(e.clients) == 0 {
+		e.l.Stop()
+	}
+}
+
+func (e *Edge) drained() { e.l.Stop() }
+
+// Query runs f on the loop with the router's counters and core.
+func (e *Edge) Query(f func(*Stats, *core.Core)) error {
+	return e.l.Call(5*time.Second, func() {
+		e.stats.Connections, e.stats.Held = uint64(len(e.clients)), len(e.reqs)
+		e.stats.Upstreams = 0
+		for _, p := range e.pools {
+			e.stats.Upstreams += len(p.all)
+		}
+		f(&e.stats, e.core)
+	})
+}
+
+// acceptor takes connections.
+type acceptor struct{ e *Edge }
+
+func (a *acceptor) OnReady(loop.Ready) {
+	e := a.e
+	for range e.s.Limits.AcceptPerTurn {
+		fd, _, err := unix.Accept4(e.lfd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+		case unix.EAGAIN:
+			return
+		case unix.EINTR, unix.ECONNABORTED, unix.EPROTO:
+			continue
+		default: // no descriptors or memory: wait until some are free, without spinning
+			e.l.Want(e.lfd, 0)
+			e.l.Arm(&e.acceptT, 50)
+			return
+		}
+		e.stats.Accepted++
+		if len(e.clients) >= e.s.Limits.Connections {
+			unix.Write(fd, busyAnswer)
+			unix.Close(fd)
+			e.stats.Refused++
+			continue
+		}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		c := &client{e: e, fd: fd}
+		c.idle.F = c.onIdle
+		if err := e.l.Add(fd, loop.Read, c); err != nil {
+			unix.Close(fd)
+			continue
+		}
+		e.clients[c] = struct{}{}
+		e.l.Arm(&c.idle, e.s.Limits.ClientIdle)
+	}
+}
+
+// wake is a timer that the module asked for.
+type wake struct {
+	t     loop.Timer
+	e     *Edge
+	token int64
+}
+
+func (w *wake) due() {
+	token := w.token
+	w.e.freeWakes = append(w.e.freeWakes, w)
+	w.e.tell(spool.Timer{Token: token})
+}
+
+func (e *Edge) wakeIn(in float64, token int64) {
+	var w *wake
+	if n := len(e.freeWakes); n > 0 {
+		w, e.freeWakes = e.freeWakes[n-1], e.freeWakes[:n-1]
+	} else {
+		w = &wake{e: e}
+		w.t.F = w.due
+	}
+	w.token = token
+	e.l.Arm(&w.t, in)
+}
+
+// tell gives the module an event and carries out its actions; events that come
+// of these wait their turn.
+func (e *Edge) tell(ev spool.Event) {
+	if e.telling {
+		e.queue = append(e.queue, ev)
+		return
+	}
+	e.telling = true
+	for {
+		e.acts = e.core.Handle(e.l.Now(), ev, e.acts[:0])
+		for i := range e.acts {
+			e.carryOut(e.acts[i])
+		}
+		clear(e.acts)
+		if len(e.queue) == 0 {
+			break
+		}
+		ev = e.queue[0]
+		if e.queue = e.queue[1:]; len(e.queue) == 0 {
+			e.queue = nil
+		}
+	}
+	e.telling = false
+}
+
+// carryOut does what the module wants done.
+func (e *Edge) carryOut(a spool.Action) {
+	switch a := a.(type) {
+	case spool.Send:
+		e.send(&a)
+	case spool.Refuse:
+		if r := e.reqs[a.ID]; r != nil {
+			r.refuse(a.After)
+		}
+	case spool.Fail:
+		if r := e.reqs[a.ID]; r != nil {
+			r.fail()
+		}
+	case spool.Cancel:
+		if r := e.reqs[a.ID]; r != nil && a.Attempt < len(r.tries) {
+			r.tries[a.Attempt].cancel()
+		}
+	case spool.Wake:
+		e.wakeIn(a.In, a.Token)
+	case spool.Probe:
+		e.probe(a.Cache)
+	case spool.Watch, spool.Fetch:
+		// the list's stream is held open as long as the router runs, and begins
+		// with the whole list: there is nothing to ask for (watch.go)
+	}
+}
+
+// probe answers a module that asks for the health of a member: the settings
+// never allow it (core.Module), so that it is not sent, and counts as failed.
+func (e *Edge) probe(id string) { e.tell(spool.Probed{Cache: id}) }
+
+// news applies a line of the list service, or the settings' members.
+func (e *Edge) news(n *core.News) core.Applied {
+	a := e.core.Apply(e.l.Now(), n)
+	for _, ev := range a.Events {
+		switch ev := ev.(type) {
+		case spool.Members:
+			e.tell(ev)
+			e.leaveDrained()
+		case spool.Purge:
+			e.tell(ev)
+			e.recall(ev)
+		}
+	}
+	return a
+}
+
+// leaveDrained closes unused connections to members that take nothing new, and
+// takes back attempts there that have not been written yet: the wait for a
+// connection must not outlast the grace. The module makes them anew elsewhere.
+func (e *Edge) leaveDrained() {
+	out := func(id string) bool {
+		m, ok := e.core.Member(id)
+		return ok && m.State != spool.Serving
+	}
+	for _, p := range e.pools {
+		if out(p.member) {
+			p.closeIdle()
+		}
+	}
+	e.takeBack(func(t *try) bool { return out(t.cache) || t.source != t.cache && out(t.source) })
+}
+
+// recall takes back attempts for what was purged that have not been written
+// yet: the age that they state was settled before the purge.
+func (e *Edge) recall(p spool.Purge) {
+	e.takeBack(func(t *try) bool {
+		return t.r.q.Object == p.Object || p.Object == "" && t.r.q.Group == p.Group
+	})
+}
+
+func (e *Edge) takeBack(which func(*try) bool) {
+	var back []*try
+	for _, r := range e.reqs {
+		for _, t := range r.tries {
+			if !t.done && !t.written && which(t) {
+				back = append(back, t)
+			}
+		}
+	}
+	for _, t := range back {
+		t.abandon()
+		t.end(spool.Moot, spool.NoteNone, false)
+	}
+}
+
+// nextID names a request: unlike any other of this router's, also of an earlier life.
+func (e *Edge) nextID() string {
+	e.seq++
+	var b [48]byte
+	id := append(b[:0], e.name...)
+	id = append(id, '-')
+	id = strconv.AppendInt(id, bootMillis, 36)
+	id = append(id, '-')
+	return string(strconv.AppendUint(id, e.seq, 36))
+}
+
+var bootMillis = int64(loop.Clock())
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,505 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+	"indigospool/internal/standin"
+	"indigospool/internal/tap"
+)
+
+// rig is a router with stand-ins around it, all in this process.
+type rig struct {
+	t       testing.TB
+	e       *Edge
+	tap     *tap.Writer
+	list    *standin.List
+	boxes   map[string]*standin.Server
+	origin  *standin.Server
+	log     *bytes.Buffer
+	logMu   sync.Mutex
+	done    chan error
+	stopped bool
+}
+
+type lockedWriter struct {
+	mu *sync.Mutex
+	w  io.Writer
+}
+
+func (l lockedWriter) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(b)
+}
+
+var testClasses = []standin.Class{{Name: "still", KB: 4}, {Name: "film", KB: 200}, {Name: "order", Write: true, Window: 2000}}
+
+const testRouter = `
+(router (name e1) (zone z) (listen "127.0.0.1:0") (admin "127.0.0.1:0") (list "%s"))
+(zone z (routers 1))
+(limits (linger 200) (connect 150) %s)
+(fill (flow 100) (direct) (joins))
+(class still (aim 400) (deadline 3000))
+(class film (parts) (aim 600) (deadline 6000))
+(class order (write) (effect guarded) (group all) (window 2000) (deadline 1500))
+(route "/s/{group}/{object}" (class still))
+(route "/v/{group}/{object}/{part}" (class film))
+(route "/o/{object}" (class order))
+`
+
+func newRig(t testing.TB, boxes int, limits string) *rig {
+	r := &rig{t: t, tap: tap.NewWriter(nil), boxes: map[string]*standin.Server{}, log: &bytes.Buffer{}, done: make(chan error, 1)}
+	var err error
+	if r.list, err = standin.StartList(standin.ListConfig{ID: "list"}, r.tap); err != nil {
+		t.Fatal(err)
+	}
+	r.origin = r.start(standin.Config{ID: "o", Role: "origin"})
+	r.set("o", "origin", "", "serving", r.origin.Addr())
+	p := r.start(standin.Config{ID: "p", Role: "parent", Upstream: r.origin.Addr()})
+	r.set("p", "parent", "", "serving", p.Addr())
+	for i := range boxes {
+		id := fmt.Sprintf("b%d", i)
+		r.boxes[id] = r.start(standin.Config{ID: id, Role: "box"})
+		r.set(id, "box", "z", "serving", r.boxes[id].Addr())
+	}
+	var s config.Settings
+	if err := config.Read("test.edn", fmt.Sprintf(testRouter, r.list.Addr(), limits), &s); err != nil {
+		t.Fatal(err)
+	}
+	log := newAccessLog(lockedWriter{&r.logMu, r.log}, 1000, "info")
+	if r.e, err = New(&s, log); err != nil {
+		t.Fatal(err)
+	}
+	go func() { r.done <- r.e.Run() }()
+	t.Cleanup(func() {
+		r.stop()
+		for _, b := range r.boxes {
+			b.Kill()
+		}
+		p.Kill()
+		r.origin.Kill()
+		r.list.Close()
+		log.Close()
+		if t.Failed() {
+			r.logMu.Lock()
+			t.Logf("log:\n%s", r.log.String())
+			r.logMu.Unlock()
+		}
+	})
+	r.waitFor("the list", func(st *Stats, c *core.Core) bool { return c.Rev() >= int64(boxes+2) })
+	return r
+}
+
+func (r *rig) start(c standin.Config) *standin.Server {
+	c.Flow, c.Classes, c.FillWait = 100, testClasses, 1000
+	s, err := standin.Start(c, r.tap)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return s
+}
+
+func (r *rig) set(id, kind, zone, state, addr string) {
+	r.list.Set(core.Row{ID: id, Kind: kind, Zone: zone, State: state, Address: addr}, 0)
+}
+
+func (r *rig) stop() {
+	if !r.stopped {
+		r.stopped = true
+		r.e.Stop()
+		if err := <-r.done; err != nil {
+			r.t.Error(err)
+		}
+	}
+}
+
+func (r *rig) waitFor(what string, ok func(*Stats, *core.Core) bool) {
+	r.t.Helper()
+	for range 500 {
+		good := false
+		if err := r.e.Query(func(s *Stats, c *core.Core) { good = ok(s, c) }); err != nil {
+			r.t.Fatal(err)
+		}
+		if good {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.t.Fatalf("waited in vain for %s", what)
+}
+
+func (r *rig) dial() net.Conn {
+	c, err := net.Dial("tcp", r.e.Addr())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	r.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// talk sends text and reads all that comes until the router closes.
+func (r *rig) talk(text string) string {
+	c := r.dial()
+	io.WriteString(c, text)
+	b, _ := io.ReadAll(c)
+	return string(b)
+}
+
+func (r *rig) get(path string) (*http.Response, []byte, error) {
+	req, _ := http.NewRequest("GET", "http://"+r.e.Addr()+path, nil)
+	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res, b, err
+}
+
+func (r *rig) count(f func(tap.Record) bool) (n int) {
+	for _, rec := range r.tap.Records() {
+		if f(rec) {
+			n++
+		}
+	}
+	return n
+}
+
+// A miss is looked for, filled from the parent, and the second time a hit; the
+// bytes are those of the origin's version.
+func TestFillThenHit(t *testing.T) {
+	r := newRig(t, 3, "")
+	for i, want := range []string{"fwd=miss", "hit"} {
+		for _, path := range []string{"/s/7/a.jpg", "/v/7/film/0"} {
+			res, body, err := r.get(path)
+			if err != nil || res.StatusCode != 200 {
+				t.Fatal(res, err)
+			}
+			if cs := res.Header.Get("Cache-Status"); !strings.Contains(cs, want) {
+				t.Errorf("round %d, %s: Cache-Status %q, want %q in it", i, path, cs, want)
+			}
+			if at, ok := standin.Matches(body, path, 1, 0); !ok {
+				t.Errorf("%s: byte %d is not the origin's", path, at)
+			}
+		}
+	}
+	if n := r.count(func(x tap.Record) bool { return x.Ev == tap.Recv && x.Role == "origin" }); n != 2 {
+		t.Errorf("the origin was asked %d times, want 2", n)
+	}
+}
+
+// HEAD has the head of GET and no body; the connection goes on.
+func TestHeadAndKeepAlive(t *testing.T) {
+	r := newRig(t, 2, "")
+	c := r.dial()
+	br := bufio.NewReader(c)
+	for i, m := range []string{"GET", "HEAD", "GET"} {
+		fmt.Fprintf(c, "%s /s/1/a HTTP/1.1\r\nHost: h\r\n\r\n", m)
+		req, _ := http.NewRequest(m, "/", nil)
+		res, err := http.ReadResponse(br, req)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		b, err := io.ReadAll(res.Body)
+		if err != nil || res.StatusCode != 200 || res.ContentLength <= 0 || m == "HEAD" && len(b) > 0 || m == "GET" && len(b) == 0 {
+			t.Fatalf("answer %d: %d, length %d, %d bytes, %v", i, res.StatusCode, res.ContentLength, len(b), err)
+		}
+	}
+}
+
+// Answers come in the order of a pipelined burst; a malformed request in it is
+// answered in its turn, and ends the connection.
+func TestPipelinedBurst(t *testing.T) {
+	r := newRig(t, 2, "")
+	got := r.talk("GET /s/1/a HTTP/1.1\r\nHost: h\r\n\r\nGET /s/1/b HTTP/1.1\r\nHost: h\r\n\r\n" +
+		"GET /s/1/c HTTP/1.1\r\nHost : h\r\n\r\nGET /s/1/d HTTP/1.1\r\nHost: h\r\n\r\n")
+	br := bufio.NewReader(strings.NewReader(got))
+	for i, want := range []int{200, 200, 400} {
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		b, _ := io.ReadAll(res.Body)
+		if res.StatusCode != want {
+			t.Errorf("answer %d: %d, want %d", i, res.StatusCode, want)
+		}
+		if want == 200 {
+			if _, ok := standin.Matches(b, "/s/1/"+string(rune('a'+i)), 1, 0); !ok {
+				t.Errorf("answer %d is another object's", i)
+			}
+		}
+	}
+	if rest, _ := io.ReadAll(br); len(rest) > 0 {
+		t.Errorf("after the fault came %q", rest)
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	r := newRig(t, 1, "(head-time 300) (body 10)")
+	for _, c := range []struct{ name, in, want string }{
+		{"two lengths", "POST /o/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+		{"length and chunked", "POST /o/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+		{"bare LF", "GET /s/1/a HTTP/1.1\nHost: h\n\n", "400"},
+		{"head 64 KB", "GET /s/1/a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 65536) + "\r\n\r\n", "431"},
+		{"target", "GET /" + strings.Repeat("x", 9000) + " HTTP/1.1\r\nHost: h\r\n\r\n", "414"},
+		{"version", "GET /s/1/a HTTP/3.0\r\nHost: h\r\n\r\n", "505"},
+		{"coding", "POST /o/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n", "501"},
+		{"body", "POST /o/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nContent-Length: 11\r\n\r\nhello hello", "413"},
+		{"chunked body", "POST /o/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello hello\r\n0\r\n\r\n", "413"},
+		{"half a request", "GET /s/1/a HTT", "408"},
+		{"half a body", "POST /o/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nContent-Length: 5\r\n\r\nhe", "408"},
+		{"no route", "GET /nowhere HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "404"},
+		{"method", "PUT /s/1/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "405"},
+		{"no key", "POST /o/1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "400"},
+	} {
+		got := r.talk(c.in)
+		if !strings.HasPrefix(got, "HTTP/1.1 "+c.want) || !strings.Contains(got, "Connection: close\r\n") {
+			t.Errorf("%s: answered %.80q, want %s and the connection closed", c.name, got, c.want)
+		}
+		if strings.Count(got, "HTTP/1.1 ") != 1 {
+			t.Errorf("%s: more than one answer: %q", c.name, got)
+		}
+	}
+	if n := r.count(func(x tap.Record) bool { return x.Ev == tap.Ran }); n > 0 {
+		t.Errorf("%d of these ran at the origin", n)
+	}
+}
+
+// A write goes to the origin and runs once; the client that waits for 100 gets it.
+func TestWrite(t *testing.T) {
+	r := newRig(t, 1, "")
+	c := r.dial()
+	fmt.Fprintf(c, "POST /o/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k1\r\nContent-Length: 5\r\nExpect: 100-continue\r\nConnection: close\r\n\r\n")
+	br := bufio.NewReader(c)
+	if line, err := br.ReadString('\n'); err != nil || !strings.Contains(line, " 100 ") {
+		t.Fatal(line, err)
+	}
+	br.ReadString('\n')
+	io.WriteString(c, "hello")
+	res, err := http.ReadResponse(br, nil)
+	if err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	}
+	ran := 0
+	for _, x := range r.tap.Records() {
+		if x.Ev == tap.Ran {
+			ran++
+			if x.Key != "k1" || x.Bytes != 5 {
+				t.Errorf("ran as %+v", x)
+			}
+		}
+	}
+	if ran != 1 {
+		t.Errorf("ran %d times", ran)
+	}
+}
+
+// Nonsense from a cache becomes an outcome: the client is served all the same,
+// or sees that its answer is not whole; never other bytes than the object's.
+func TestMangledAnswers(t *testing.T) {
+	for _, kind := range []string{standin.ResetBody, standin.Truncated, standin.Overlong, standin.Garbage, standin.TwoLengths,
+		standin.BothFrames, standin.BareLF, standin.BigHead, standin.FastErrors, standin.AcceptShut} {
+		t.Run(kind, func(t *testing.T) {
+			r := newRig(t, 2, "")
+			if _, _, err := r.get("/s/1/a"); err != nil { // so that one of them holds it
+				t.Fatal(err)
+			}
+			for _, b := range r.boxes {
+				b.Fault(standin.Fault{Kind: kind, For: 60000})
+			}
+			cut := 0
+			for range 5 {
+				res, body, err := r.get("/s/1/a")
+				if res == nil || err != nil {
+					cut++
+				} else if _, ok := standin.Matches(body, "/s/1/a", 1, 0); res.StatusCode == 200 && (!ok || int64(len(body)) != res.ContentLength) {
+					t.Errorf("other bytes than the object's were passed on")
+				}
+			}
+			if inBody := kind == standin.ResetBody || kind == standin.Truncated; inBody && cut == 0 {
+				t.Error("answers that broke off were passed on as whole")
+			} else if !inBody && cut > 0 {
+				t.Errorf("%d of 5 clients were cut off, though no answer had begun", cut)
+			}
+		})
+	}
+}
+
+// A client that has gone is told of, and its attempt called back.
+func TestClientGone(t *testing.T) {
+	r := newRig(t, 1, "")
+	for _, b := range r.boxes {
+		b.Fault(standin.Fault{Kind: standin.Hang, For: 60000})
+	}
+	c := r.dial()
+	io.WriteString(c, "GET /s/1/a HTTP/1.1\r\nHost: h\r\n\r\n")
+	r.waitFor("the attempt", func(s *Stats, _ *core.Core) bool { return s.Held == 1 })
+	c.Close()
+	r.waitFor("the end of it", func(s *Stats, _ *core.Core) bool { return s.Held == 0 && s.Gone == 1 && s.Connections == 0 })
+}
+
+// A slow client stops the reading of its upstream: no more waits than may, and
+// it gets all of it in the end.
+func TestBackpressure(t *testing.T) {
+	r := newRig(t, 1, "(buffer 65536)")
+	c := r.dial().(*net.TCPConn)
+	c.SetReadBuffer(4096)
+	const path = "/v/1/long/0"
+	for range 2 {
+		if _, _, err := r.get(path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	time.Sleep(300 * time.Millisecond)
+	r.e.Query(func(*Stats, *core.Core) {
+		for cl := range r.e.clients {
+			if n := cl.out.len(); n > 65536+len(r.e.scratch) {
+				t.Errorf("%d bytes wait for a slow client", n)
+			}
+		}
+	})
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if at, ok := standin.Matches(body, path, 1, 0); !ok || int64(len(body)) != res.ContentLength {
+		t.Errorf("%d bytes of %d, byte %d wrong", len(body), res.ContentLength, at)
+	}
+}
+
+// A box that is told to drain gets nothing new, with requests in flight and
+// with connections idle; what it has in hand is finished.
+func TestDrainedBox(t *testing.T) {
+	r := newRig(t, 2, "")
+	for i := range 20 {
+		if _, _, err := r.get(fmt.Sprintf("/s/1/x%d", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := r.e.core.Rev()
+	r.set("b0", "box", "z", "draining", r.boxes["b0"].Addr())
+	r.waitFor("the drain", func(_ *Stats, c *core.Core) bool { return c.Rev() > before })
+	told := tap.Now()
+	r.e.Query(func(*Stats, *core.Core) {
+		if p := r.e.pools[r.boxes["b0"].Addr()]; p != nil && len(p.idle) > 0 {
+			t.Errorf("%d idle connections to a draining box are kept", len(p.idle))
+		}
+	})
+	for i := range 20 {
+		if res, _, err := r.get(fmt.Sprintf("/s/1/x%d", i)); err != nil || res.StatusCode != 200 {
+			t.Fatal(res, err)
+		}
+	}
+	if n := r.count(func(x tap.Record) bool { return x.Ev == tap.Recv && (x.Who == "b0" || x.Src == "b0") && x.T > told }); n > 0 {
+		t.Errorf("%d attempts to a box that drains", n)
+	}
+}
+
+// After a purge no older copy answers, though the caches still hold it.
+func TestPurge(t *testing.T) {
+	r := newRig(t, 2, "")
+	r.get("/s/5/a")
+	made := r.origin.Purge("/s/5/a", 5, 0)
+	r.list.Purge("/s/5/a", 5, made)
+	time.Sleep(300 * time.Millisecond)
+	res, body, err := r.get("/s/5/a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := standin.Matches(body, "/s/5/a", 2, 0); !ok {
+		t.Errorf("answered from %s after the purge", res.Header.Get("Spool-Copy"))
+	}
+}
+
+// The list's stream is cut in a line, and comes back with an older version: the
+// drain that was told stays in force.
+func TestListCutAndSetBack(t *testing.T) {
+	r := newRig(t, 2, "(list-backoff 20)")
+	r.set("b0", "box", "z", "draining", r.boxes["b0"].Addr())
+	drained := func(_ *Stats, c *core.Core) bool { m, _ := c.Member("b0"); return m.State != 0 }
+	r.waitFor("the drain", drained)
+	r.list.SetBack(2)
+	r.list.Cut("")
+	r.waitFor("the cut", func(*Stats, *core.Core) bool { return r.e.listState.Load() != "following" })
+	time.Sleep(100 * time.Millisecond)
+	r.list.SetBack(0)
+	r.waitFor("the stream", func(*Stats, *core.Core) bool { return r.e.listState.Load() == "following" })
+	r.waitFor("the drain to hold", drained)
+	r.set("b0", "box", "z", "serving", r.boxes["b0"].Addr())
+	r.list.Cut("") // a router that passed over old news asks for the whole list again
+	r.waitFor("the box to be back", func(_ *Stats, c *core.Core) bool { m, _ := c.Member("b0"); return m.State == 0 })
+}
+
+// SIGTERM's drain: what is in hand is answered, idle connections are closed,
+// nothing new is accepted, and Run returns.
+func TestDrain(t *testing.T) {
+	r := newRig(t, 1, "")
+	idle := r.dial()
+	for _, b := range r.boxes {
+		b.Fault(standin.Fault{Kind: standin.Hang, For: 300})
+	}
+	busy := r.dial()
+	io.WriteString(busy, "GET /s/1/a HTTP/1.1\r\nHost: h\r\n\r\n")
+	r.waitFor("the request", func(s *Stats, _ *core.Core) bool { return s.Held == 1 && s.Connections == 2 })
+	r.e.Drain()
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("an idle connection: %v, want its end", err)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	if err != nil || res.StatusCode != 200 || !res.Close {
+		t.Errorf("in hand: %v, %v", res, err)
+	}
+	io.Copy(io.Discard, res.Body)
+	r.stopped = true
+	if err := <-r.done; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.DialTimeout("tcp", r.e.Addr(), time.Second); err == nil {
+		t.Error("connections are still accepted")
+	}
+}
+
+func TestAdmin(t *testing.T) {
+	r := newRig(t, 1, "")
+	r.get("/s/1/a")
+	do := func(method, path string) (int, string) {
+		req, _ := http.NewRequest(method, "http://"+r.e.AdminAddr()+path, nil)
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		b, _ := io.ReadAll(res.Body)
+		return res.StatusCode, string(b)
+	}
+	if code, _ := do("PURGE", "/s/1/a"); code != 204 {
+		t.Errorf("PURGE: %d", code)
+	}
+	res, _, _ := r.get("/s/1/a")
+	if cs := res.Header.Get("Cache-Status"); strings.Contains(cs, "b0; hit") || !strings.Contains(cs, "fwd=miss") {
+		t.Errorf("after PURGE: %s", cs)
+	}
+	if code, text := do("GET", "/state"); code != 200 || !strings.Contains(text, `"Served":2`) {
+		t.Errorf("state: %d %s", code, text)
+	}
+	if code, text := do("GET", "/members"); code != 200 || !strings.Contains(text, `"ID":"b0"`) {
+		t.Errorf("members: %d %s", code, text)
+	}
+}
--- /dev/null
+++ b/internal/edge/log.go
@@ -0,0 +1,196 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+)
+
+// endWord says why a request ended, in a few stable words: docs/operating.md.
+type endWord uint8
+
+const (
+	endServed     endWord = iota + 1 // a cache's answer, whole
+	endRefused                       // the module turned it away
+	endFailed                        // the module gave it up
+	endBroken                        // the member's answer broke off after it had begun
+	endClientGone                    // the client left
+	endClientSlow                    // the client took nothing for too long
+	endMalformed                     // no valid message
+	endNoRoute                       // no class fits
+	endHeld                          // as many requests in hand as may be
+)
+
+func (w endWord) word() string {
+	switch w {
+	case endServed:
+		return "served"
+	case endRefused:
+		return "refused"
+	case endFailed:
+		return "failed"
+	case endBroken:
+		return "upstream-broke"
+	case endClientGone:
+		return "client-gone"
+	case endClientSlow:
+		return "client-slow"
+	case endMalformed:
+		return "malformed"
+	case endNoRoute:
+		return "no-route"
+	case endHeld:
+		return "held-limit"
+	}
+	return "unknown"
+}
+
+var resultWords = [...]string{spool.OK: "ok", spool.Errored: "error", spool.Full: "full", spool.TimedOut: "timeout",
+	spool.ConnectFailed: "connect-failed", spool.Reset: "reset", spool.Cancelled: "cancelled", spool.Moot: "moot",
+	spool.Miss: "miss"}
+
+// AccessLog writes one line a request, and the router's own messages, from a
+// goroutine of its own: the loop only queues. When the queue is full, lines are
+// dropped and counted.
+type AccessLog struct {
+	access *zap.Logger
+	Log    *zap.Logger // the router's own messages
+	q      *queue
+}
+
+// queue is a bounded queue of written lines.
+type queue struct {
+	lines   chan []byte
+	w       io.Writer
+	dropped atomic.Uint64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// Write queues a line; it never blocks.
+func (q *queue) Write(b []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), b...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+func (q *queue) Sync() error { return nil }
+
+func (q *queue) run() {
+	defer close(q.done)
+	var told uint64
+	for line := range q.lines {
+		q.w.Write(line)
+		if n := q.dropped.Load(); n > told {
+			fmt.Fprintf(q.w, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"dropped\":%d}\n", n-told)
+			told = n
+		}
+	}
+}
+
+// NewAccessLog opens the log that the settings name. Close ends it.
+func NewAccessLog(s *config.Settings) (*AccessLog, error) {
+	var w io.Writer
+	switch s.Router.Log {
+	case "stderr":
+		w = os.Stderr
+	case "stdout":
+		w = os.Stdout
+	case "none":
+		w = nil
+	default:
+		f, err := os.OpenFile(s.Router.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, fmt.Errorf("edge: access log: %w; name a file that can be written, stderr, stdout or none", err)
+		}
+		w = f
+	}
+	return newAccessLog(w, s.Limits.LogQueue, s.Router.Level), nil
+}
+
+func newAccessLog(w io.Writer, lines int, level string) *AccessLog {
+	if w == nil {
+		return &AccessLog{access: zap.NewNop(), Log: zap.NewNop()}
+	}
+	q := &queue{lines: make(chan []byte, max(lines, 1)), w: w, done: make(chan struct{})}
+	go q.run()
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.ISO8601TimeEncoder
+	lv, err := zapcore.ParseLevel(level)
+	if err != nil {
+		lv = zapcore.InfoLevel
+	}
+	l := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(enc), q, lv))
+	return &AccessLog{access: l, Log: l, q: q}
+}
+
+// Dropped is how many lines were dropped.
+func (a *AccessLog) Dropped() uint64 {
+	if a.q == nil {
+		return 0
+	}
+	return a.q.dropped.Load()
+}
+
+// Close writes what is queued and ends the log.
+func (a *AccessLog) Close() {
+	if a.q != nil {
+		a.q.once.Do(func() { close(a.q.lines) })
+		<-a.q.done
+	}
+}
+
+// request logs a request's end.
+func (a *AccessLog) request(r *request) {
+	ce := a.access.Check(zapcore.InfoLevel, "request")
+	if ce == nil {
+		return
+	}
+	object := r.q.Object
+	if object == "" {
+		object = r.path
+	}
+	fields := [8]zap.Field{zap.String("id", r.id), zap.String("class", r.q.Class), zap.String("object", object),
+		zap.Int("part", r.q.Part), zap.Int("status", r.status), zap.Int64("bytes", r.sent),
+		zap.Float64("ms", float64(int64((r.e.l.Now()-r.at)*1000))/1000), zap.String("end", r.why.word())}
+	if len(r.tries) == 0 {
+		ce.Write(fields[:]...)
+		return
+	}
+	ce.Write(append(fields[:], zap.String("tries", r.attempts()))...)
+}
+
+// attempts tells each attempt as member<source:result:ms, in their order; a
+// look names no source.
+func (r *request) attempts() string {
+	var buf [256]byte
+	b := buf[:0]
+	for i, t := range r.tries {
+		if i > 0 {
+			b = append(b, ' ')
+		}
+		b = append(b, t.cache...)
+		if t.source != t.cache {
+			b = append(append(b, '<'), t.source...)
+		}
+		word, took := "open", r.e.l.Now()-t.sentAt
+		if t.done {
+			word, took = resultWords[t.result], t.took
+		}
+		b = append(append(append(b, ':'), word...), ':')
+		b = strconv.AppendFloat(b, took, 'f', 1, 64)
+	}
+	return string(b)
+}
--- /dev/null
+++ b/internal/edge/upstream.go
@@ -0,0 +1,677 @@
+package edge
+
+import (
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	spool "indigospool"
+	"indigospool/internal/fillwire"
+	"indigospool/internal/http1"
+	"indigospool/internal/loop"
+)
+
+// try is one attempt of a request.
+type try struct {
+	r             *request
+	n             int
+	cache, source string
+	send          spool.Send
+	sentAt        float64
+	timer         loop.Timer // the attempt's time-out, until its answer has begun
+	u             *upstream  // nil while it waits for a connection, and once it is over
+	p             *pool
+	written       bool // something of it may have reached the member
+	done          bool // its outcome was told
+	load          []float64
+	result        spool.Result
+	took          float64
+}
+
+// send makes an attempt that the module wants.
+func (e *Edge) send(a *spool.Send) {
+	r := e.reqs[a.ID]
+	if r == nil {
+		return
+	}
+	t := &try{r: r, n: len(r.tries), cache: a.Cache, source: a.Source, send: *a, sentAt: e.l.Now()}
+	r.tries = append(r.tries, t)
+	r.open++
+	e.stats.Attempts++
+	if r.phase != asked {
+		t.end(spool.Moot, spool.NoteNone, false)
+		return
+	}
+	address := e.core.Address(a.Cache)
+	left := r.q.Deadline - e.l.Now()
+	if a.Timeout > 0 {
+		left = min(left, a.Timeout)
+	}
+	t.timer.F = t.timedOut
+	e.l.Arm(&t.timer, left)
+	t.p = e.pool(address, a.Cache)
+	t.p.start(t)
+}
+
+func (t *try) timedOut() {
+	if t.done {
+		return
+	}
+	result := spool.TimedOut
+	switch {
+	case t.u == nil: // it waited for a connection: nothing has run
+		t.abandon()
+		t.end(spool.Full, spool.NoteNoPlace, false)
+		return
+	case !t.written:
+		result = spool.ConnectFailed
+	}
+	t.cut(result)
+}
+
+// cancel stops the wait for an attempt, unless its answer is the client's.
+func (t *try) cancel() {
+	if t.done || t.r.winner == t && t.r.phase == relaying {
+		return
+	}
+	t.cut(spool.Cancelled)
+}
+
+// cut ends an attempt with its connection.
+func (t *try) cut(result spool.Result) {
+	if t.done {
+		return
+	}
+	t.abandon()
+	t.end(result, spool.NoteNone, t.r.phase == over || t.r.winner == t)
+}
+
+// abandon takes the attempt off its connection, which is closed, or out of the queue for one.
+func (t *try) abandon() {
+	if u := t.u; u != nil {
+		t.u, u.t = nil, nil
+		u.close()
+	} else if t.p != nil {
+		t.p.forget(t)
+	}
+}
+
+// end tells the module the attempt's outcome.
+func (t *try) end(result spool.Result, note spool.Note, last bool) {
+	if t.done {
+		return
+	}
+	e, r := t.r.e, t.r
+	t.done, t.result = true, result
+	e.l.Disarm(&t.timer)
+	t.took = e.l.Now() - t.sentAt
+	r.open--
+	e.tell(spool.Outcome{ID: t.send.ID, Cache: t.cache, Attempt: t.n, Result: result, Took: t.took,
+		Last: last || r.phase == over, Note: note, Load: t.load})
+	r.release()
+}
+
+// pool is the connections to one address.
+type pool struct {
+	e       *Edge
+	address string
+	member  string // the last that it was used for
+	all     map[*upstream]struct{}
+	idle    []*upstream // the last used is the first to be used again
+	wait    []*try
+}
+
+func (e *Edge) pool(address, member string) *pool {
+	p := e.pools[address]
+	if p == nil {
+		p = &pool{e: e, address: address, all: map[*upstream]struct{}{}}
+		e.pools[address] = p
+	}
+	p.member = member
+	return p
+}
+
+// start gives the attempt a connection, or has it wait for one.
+func (p *pool) start(t *try) {
+	if n := len(p.idle); n > 0 {
+		u := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.e.l.Disarm(&u.timer)
+		p.e.stats.Reused++
+		u.begin(t)
+		return
+	}
+	if len(p.all) >= p.e.s.Limits.Upstream {
+		p.wait = append(p.wait, t)
+		return
+	}
+	u, err := p.connect()
+	if err != nil {
+		t.end(spool.ConnectFailed, spool.NoteNone, false)
+		return
+	}
+	u.begin(t)
+}
+
+func (p *pool) forget(t *try) {
+	for i, w := range p.wait {
+		if w == t {
+			p.wait = append(p.wait[:i], p.wait[i+1:]...)
+			return
+		}
+	}
+}
+
+// next has an attempt that waits take a place that is free again.
+func (p *pool) next() {
+	if len(p.wait) > 0 {
+		t := p.wait[0]
+		if p.wait = p.wait[1:]; len(p.wait) == 0 {
+			p.wait = nil
+		}
+		p.start(t)
+	}
+}
+
+func (p *pool) closeIdle() {
+	for len(p.idle) > 0 {
+		p.idle[len(p.idle)-1].close()
+	}
+}
+
+// upState is what an upstream connection is at.
+type upState uint8
+
+const (
+	upConnecting upState = iota
+	upIdle
+	upHead  // the attempt is written, its answer's head has not come whole
+	upBody  // the body goes to the client
+	upDrain // the rest of an answer that nobody wants, so that the connection can be kept
+)
+
+// upstream is a connection to a member.
+type upstream struct {
+	e      *Edge
+	p      *pool
+	fd     int
+	state  upState
+	t      *try
+	left   []byte // read, and not yet taken
+	out    outq
+	head   http1.Head
+	body   http1.Body
+	chunk  bool // the client gets chunks
+	excess bool // bytes came with the head, behind it
+	held   bool // not read, since the client is slow
+	timer  loop.Timer
+	drain  int
+	note   spool.Note
+}
+
+func (p *pool) connect() (*upstream, error) {
+	fd, inProgress, err := dial(p.address)
+	if err != nil {
+		return nil, err
+	}
+	u := &upstream{e: p.e, p: p, fd: fd, state: upConnecting}
+	u.timer.F = u.onTimer
+	want := loop.Write
+	if !inProgress {
+		u.state, want = upIdle, loop.Read
+	}
+	if err := p.e.l.Add(fd, want, u); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	p.e.stats.Connects++
+	p.all[u] = struct{}{}
+	return u, nil
+}
+
+// dial begins to connect without waiting.
+func dial(address string) (fd int, inProgress bool, err error) {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return -1, false, err
+	}
+	var sa unix.Sockaddr
+	family := unix.AF_INET
+	if a := ap.Addr().Unmap(); a.Is4() {
+		sa = &unix.SockaddrInet4{Port: int(ap.Port()), Addr: a.As4()}
+	} else {
+		family = unix.AF_INET6
+		sa = &unix.SockaddrInet6{Port: int(ap.Port()), Addr: a.As16()}
+	}
+	fd, err = unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, false, err
+	}
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	switch err = unix.Connect(fd, sa); err {
+	case nil:
+		return fd, false, nil
+	case unix.EINPROGRESS, unix.EINTR:
+		return fd, true, nil
+	}
+	unix.Close(fd)
+	return -1, false, err
+}
+
+// begin gives the connection an attempt; it is written once connected.
+func (u *upstream) begin(t *try) {
+	u.t, t.u = t, u
+	if u.state == upConnecting {
+		u.e.l.Arm(&u.timer, u.e.s.Limits.Connect)
+		return
+	}
+	u.writeAttempt()
+}
+
+func (u *upstream) writeAttempt() {
+	t := u.t
+	r := t.r
+	u.state = upHead
+	u.left = nil
+	b := append(u.out.grow(), r.fwd...)
+	a := fillwire.FromSend(&t.send, &r.q, t.n, u.e.name, u.e.core.Address(t.source), max(r.q.Deadline-u.e.l.Now(), 1))
+	b = append(b, fillwire.FillField+": "...)
+	b = a.Append(b)
+	b = append(b, "\r\n"...)
+	if a.Source == "" && !r.q.Write {
+		b = append(b, "Cache-Control: only-if-cached\r\n"...)
+	}
+	if r.q.Write {
+		b = http1.AppendFieldInt(b, "Content-Length", int64(len(r.content)))
+	}
+	b = append(b, "\r\n"...)
+	b = append(b, r.content...)
+	u.out.set(b)
+	t.written = true
+	u.flush()
+}
+
+func (u *upstream) flush() {
+	for u.out.len() > 0 {
+		n, err := unix.Write(u.fd, u.out.bytes())
+		if err == unix.EAGAIN || err == unix.EINTR {
+			u.e.l.Want(u.fd, loop.Read|loop.Write)
+			return
+		}
+		if err != nil {
+			u.broke(spool.Reset)
+			return
+		}
+		u.e.stats.OutBytes += uint64(n)
+		u.out.take(n)
+	}
+	u.e.l.Want(u.fd, loop.Read)
+}
+
+func (u *upstream) onTimer() {
+	switch u.state {
+	case upConnecting:
+		u.broke(spool.ConnectFailed)
+	case upBody:
+		u.broke(spool.TimedOut)
+	default:
+		u.close()
+	}
+}
+
+func (u *upstream) OnReady(r loop.Ready) {
+	if u.state == upConnecting {
+		if !r.Writable() {
+			return
+		}
+		soerr, err := unix.GetsockoptInt(u.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		if err != nil || soerr != 0 {
+			u.broke(spool.ConnectFailed)
+			return
+		}
+		u.e.l.Disarm(&u.timer)
+		if u.t == nil {
+			u.toIdle()
+			return
+		}
+		u.writeAttempt()
+		return
+	}
+	if r.Writable() && u.out.len() > 0 {
+		if u.flush(); u.fd < 0 {
+			return
+		}
+	}
+	if r.Readable() {
+		u.read(r)
+	}
+}
+
+// broke ends the connection, and its attempt with the result.
+func (u *upstream) broke(result spool.Result) {
+	t := u.t
+	u.t = nil
+	if t == nil {
+		u.close()
+		return
+	}
+	t.u = nil
+	r := t.r
+	started := r.winner == t && r.phase == relaying
+	if started {
+		// the answer has begun, and no other copy may be spliced to it: the
+		// client's connection ends, so that it sees that it is not whole
+		r.why = endBroken
+		r.e.stats.Broken++
+		unix.SetsockoptLinger(r.c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		r.c.close()
+		r.finish()
+	}
+	t.end(result, spool.NoteNone, started)
+	u.close() // only now: a place that becomes free lets another attempt begin
+}
+
+func (u *upstream) close() {
+	if u.fd < 0 {
+		return
+	}
+	u.e.l.Disarm(&u.timer)
+	u.e.l.Remove(u.fd)
+	unix.Close(u.fd)
+	u.fd = -1
+	p := u.p
+	delete(p.all, u)
+	for i, x := range p.idle {
+		if x == u {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			break
+		}
+	}
+	u.left, u.out = nil, outq{}
+	p.next()
+}
+
+// toIdle keeps the connection for another attempt.
+func (u *upstream) toIdle() {
+	u.t, u.state, u.held = nil, upIdle, false
+	if m, ok := u.e.core.Member(u.p.member); ok && m.State != spool.Serving {
+		u.close()
+		return
+	}
+	u.left = nil
+	u.e.l.Want(u.fd, loop.Read)
+	u.p.idle = append(u.p.idle, u)
+	u.e.l.Arm(&u.timer, u.e.s.Limits.UpstreamIdle)
+	if len(u.p.wait) > 0 {
+		u.p.next()
+	}
+}
+
+// read takes what has come.
+func (u *upstream) read(r loop.Ready) {
+	buf := u.e.scratch
+	k := copy(buf, u.left)
+	n, err := unix.Read(u.fd, buf[k:])
+	if err == unix.EAGAIN || err == unix.EINTR {
+		if r.Hangup() {
+			u.broke(spool.Reset)
+		}
+		return
+	}
+	if err != nil || n == 0 {
+		if err == nil && u.state == upBody && u.body.End() {
+			u.finishBody(false)
+			return
+		}
+		u.broke(spool.Reset)
+		return
+	}
+	u.e.stats.InBytes += uint64(n)
+	if u.state == upIdle { // nothing was asked: whatever it is, it answers nothing
+		u.close()
+		return
+	}
+	u.take(buf[:k+n])
+}
+
+// take takes bytes of an answer. What it leaves is kept only of heads and of
+// chunk framing, and so is bounded.
+func (u *upstream) take(data []byte) {
+	for u.fd >= 0 {
+		switch u.state {
+		case upHead:
+			if u.t == nil {
+				u.close()
+				return
+			}
+			n, err := http1.ParseResponse(data, &u.head, http1.Limits{}, u.t.r.isHead)
+			if err != nil {
+				u.broke(spool.Errored)
+				return
+			}
+			if n == 0 {
+				u.left = append(u.left[:0], data...)
+				return
+			}
+			data = data[n:]
+			if u.head.Status < 200 {
+				continue // 100 and 103: the answer is still to come
+			}
+			u.excess = len(data) > 0
+			u.answered()
+		case upBody:
+			rest, whole := u.relay(data)
+			if u.fd < 0 || u.state != upBody {
+				return
+			}
+			if whole {
+				u.finishBody(len(rest) > 0)
+				return
+			}
+			u.left = u.left[:0]
+			return
+		case upDrain:
+			for len(data) > 0 && !u.body.Done() {
+				n, _, err := u.body.Next(data)
+				if u.drain -= n; err != nil || n == 0 || u.drain < 0 {
+					u.close()
+					return
+				}
+				data = data[n:]
+			}
+			u.left = u.left[:0]
+			if u.body.Done() {
+				if len(data) > 0 || u.head.Close {
+					u.close()
+				} else {
+					u.toIdle()
+				}
+			}
+			return
+		default: // idle or closed by what the answer led to
+			if len(data) > 0 {
+				u.close()
+			}
+			return
+		}
+		if len(data) == 0 {
+			u.left = u.left[:0]
+			return
+		}
+	}
+}
+
+const drainLimit = 64 << 10 // of an answer that nobody wants; beyond it the connection is closed
+
+// answered has an answer's head: it becomes the client's, or an outcome.
+func (u *upstream) answered() {
+	t, e := u.t, u.e
+	r := t.r
+	if v := u.head.Get("spool-load"); v != nil {
+		t.load = fillwire.ParseLoad(t.load, v)
+	}
+	result, note := fillwire.Judge(&u.head, t.send.Source == t.cache && !r.q.Write, r.q.Write)
+	u.body.Start(&u.head, 0)
+	if result == spool.OK && r.phase == asked {
+		u.relayHead(note)
+		return
+	}
+	if result == spool.OK { // another attempt was first, or the client has its answer
+		result = spool.Moot
+		if t.written {
+			result = spool.Cancelled
+		}
+	}
+	t.u, u.t = nil, nil
+	if u.state = upDrain; u.body.Kind() == http1.UntilClose {
+		t.end(result, note, false)
+		u.close()
+		return
+	}
+	u.drain = drainLimit
+	e.l.Arm(&u.timer, e.s.Limits.BodyIdle)
+	if u.body.Done() {
+		if u.head.Close || u.excess {
+			u.close()
+		} else {
+			u.toIdle()
+		}
+	}
+	t.end(result, note, false)
+}
+
+// relayHead begins the client's answer: from now on the attempt is the client's.
+func (u *upstream) relayHead(note spool.Note) {
+	t, e := u.t, u.e
+	r := t.r
+	c := r.c
+	r.phase, r.winner = relaying, t
+	r.status = u.head.Status
+	e.l.Disarm(&t.timer)
+	u.note = note
+	b := http1.AppendStatus(c.out.grow(), u.head.Status)
+	named := u.head.Has("connection")
+	for i := range u.head.Fields {
+		f := &u.head.Fields[i]
+		if http1.HopByHop(f.Name) || named && u.head.Named(f.Name) || http1.EqualFold(f.Name, "content-length") ||
+			http1.EqualFold(f.Name, "spool-load") {
+			continue
+		}
+		b = append(b, f.Name...)
+		b = append(b, ": "...)
+		b = append(b, f.Value...)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "Via: 1.1 "...)
+	b = append(b, e.name...)
+	b = append(b, "\r\n"...)
+	u.chunk = false
+	switch {
+	case u.body.Kind() == http1.Length || u.head.ContentLength >= 0 && u.body.Kind() == http1.NoBody:
+		if u.head.Status != 204 {
+			b = http1.AppendFieldInt(b, "Content-Length", u.head.ContentLength)
+		}
+	case u.body.Kind() == http1.NoBody:
+		if !r.isHead && u.head.Status != 204 && u.head.Status != 304 {
+			b = http1.AppendFieldInt(b, "Content-Length", 0)
+		}
+	case r.minor == 0:
+		c.last = true
+	default:
+		u.chunk = true
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	}
+	b = c.appendConnection(b, r)
+	c.out.set(append(b, "\r\n"...))
+	u.state = upBody
+	for _, other := range r.tries {
+		if other != t {
+			other.cut(spool.Cancelled)
+		}
+	}
+	e.tell(spool.Started{ID: r.id, Cache: t.cache, Attempt: t.n})
+	if u.t == nil {
+		return
+	}
+	if u.body.Done() {
+		u.finishBody(u.excess)
+		return
+	}
+	e.l.Arm(&u.timer, e.s.Limits.BodyIdle)
+}
+
+// relay passes content on to the client. Once as much waits as may, the member
+// is not read until the client has taken some.
+func (u *upstream) relay(data []byte) (rest []byte, whole bool) {
+	c := u.t.r.c
+	r := u.t.r
+	for len(data) > 0 && !u.body.Done() {
+		n, content, err := u.body.Next(data)
+		if err != nil {
+			u.broke(spool.Errored)
+			return nil, false
+		}
+		if n == 0 {
+			break
+		}
+		data = data[n:]
+		r.sent += int64(len(content))
+		if u.chunk {
+			c.out.set(http1.AppendChunk(c.out.grow(), content))
+		} else if len(content) > 4096 && c.out.len() == 0 {
+			c.write(content)
+		} else {
+			c.out.add(content)
+		}
+		if u.t == nil || c.gone { // the client has gone, and with it the attempt
+			return nil, false
+		}
+	}
+	if u.body.Done() {
+		return data, true
+	}
+	u.e.l.Arm(&u.timer, u.e.s.Limits.BodyIdle)
+	if c.out.len() > 0 {
+		c.flush()
+	}
+	if u.t != nil && u.fd >= 0 && c.out.len() >= u.e.s.Limits.Buffer {
+		u.held = true
+		u.e.l.Disarm(&u.timer) // the client holds things up, not the member
+		u.e.l.Want(u.fd, 0)
+	}
+	return data, false
+}
+
+// resume reads on when the client has taken what waited.
+func (r *request) resume() {
+	t := r.winner
+	if t == nil || t.u == nil || !t.u.held {
+		return
+	}
+	u := t.u
+	u.held = false
+	u.e.l.Arm(&u.timer, u.e.s.Limits.BodyIdle)
+	u.e.l.Want(u.fd, loop.Read)
+}
+
+// finishBody has the whole answer. More bytes than it may have end the
+// connection: they belong to no request.
+func (u *upstream) finishBody(excess bool) {
+	t := u.t
+	r := t.r
+	if u.chunk {
+		r.c.out.set(append(r.c.out.grow(), http1.LastChunk...))
+	}
+	r.why = endServed
+	r.e.stats.Served++
+	t.u, u.t = nil, nil
+	keep := !excess && !u.head.Close && u.body.Kind() != http1.UntilClose
+	note := u.note
+	if keep {
+		u.toIdle()
+	} else {
+		u.close()
+	}
+	t.end(spool.OK, note, true)
+	r.finish()
+}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -44,9 +44,9 @@
 	rev     int64
 	log     []entry
 	changed chan struct{}
-	cut     map[string]bool // routers whose stream is to be cut in the middle of a line
-	setBack int64           // the next full lists bear this much older a version
-	down    float64         // until when it takes no stream
+	cut     map[string]float64 // when streams of a router (empty: of all) were to be cut in a line
+	setBack int64              // the next full lists bear this much older a version
+	down    float64            // until when it takes no stream
 }
 
 // entry is one thing that has happened; rows are whole.
@@ -72,7 +72,7 @@
 		return nil, fmt.Errorf("standin %s: %w", cfg.ID, err)
 	}
 	l := &List{cfg: cfg, tap: w, ln: ln, done: make(chan struct{}), changed: make(chan struct{}),
-		cut: map[string]bool{}, rng: rand.New(rand.NewPCG(cfg.Seed, 0x1157))}
+		cut: map[string]float64{}, rng: rand.New(rand.NewPCG(cfg.Seed, 0x1157))}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /watch", l.watch)
 	mux.HandleFunc("POST /-/news", l.post)
@@ -114,7 +114,7 @@
 // Cut ends a router's stream in the middle of its next line; empty: all routers'.
 func (l *List) Cut(router string) {
 	l.mu.Lock()
-	l.cut[router] = true
+	l.cut[router] = tap.Now()
 	close(l.changed)
 	l.changed = make(chan struct{})
 	l.mu.Unlock()
@@ -192,8 +192,7 @@
 			return false
 		}
 		l.mu.Lock()
-		cut := l.cut[name] || l.cut[""]
-		delete(l.cut, name)
+		cut := max(l.cut[name], l.cut[""]) > now
 		l.mu.Unlock()
 		if cut {
 			w.Write(line[:len(line)/2])
@@ -250,14 +249,11 @@
 			waiting = append(waiting, l.log[at])
 		}
 		changed := l.changed
-		cut := l.cut[name] || l.cut[""]
+		cut := max(l.cut[name], l.cut[""]) > now
 		l.mu.Unlock()
 		if cut {
 			w.Write([]byte(`{"rev":`))
 			flush.Flush()
-			l.mu.Lock()
-			delete(l.cut, name)
-			l.mu.Unlock()
 			return
 		}
 		sort.SliceStable(waiting, func(i, j int) bool { return due(waiting[i], lag, purgeLag) < due(waiting[j], lag, purgeLag) })
