--- /dev/null
+++ b/cmd/spool-router/main.go
@@ -0,0 +1,105 @@
+// Spool-router is the edge: it takes clients' requests and has them answered by
+// caches, as the decision module says.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"indigospool/internal/cli"
+	"indigospool/internal/config"
+	"indigospool/internal/demo"
+	"indigospool/internal/edge"
+)
+
+func main() {
+	root := &cobra.Command{Use: "spool-router", Short: "Routes requests to caches of large objects"}
+	var file string
+	var canonical bool
+	serve := &cobra.Command{Use: "serve -c FILE", Short: "Serve until SIGTERM or SIGINT, then drain",
+		Example: "  spool-router serve -c edge.edn", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return serve(c.Context(), file) }}
+	check := &cobra.Command{Use: "check -c FILE", Short: "Check a settings file; exit 1 on a fault",
+		Example: "  spool-router check -c edge.edn\n  spool-router check -c edge.edn --print", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return check(file, canonical) }}
+	for _, c := range []*cobra.Command{serve, check} {
+		c.Flags().StringVarP(&file, "config", "c", "", "settings file")
+		c.MarkFlagRequired("config")
+	}
+	check.Flags().BoolVar(&canonical, "print", false, "print the settings in canonical form")
+	var log string
+	try := &cobra.Command{Use: "demo", Short: "A router among stand-ins, to fetch from with curl", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return runDemo(c.Context(), log) }}
+	try.Flags().StringVar(&log, "log", "none", "access log: stderr, stdout, none or a file")
+	root.AddCommand(serve, check, try)
+	cli.Main(root)
+}
+
+func load(file string) (*config.Settings, error) {
+	s := &config.Settings{}
+	err := config.ReadFile(file, s)
+	var faults config.Faults
+	if errors.As(err, &faults) {
+		return nil, &cli.FoundError{Err: err}
+	}
+	return s, err
+}
+
+func check(file string, canonical bool) error {
+	s, err := load(file)
+	if err != nil {
+		return err
+	}
+	if canonical {
+		fmt.Print(config.Print(s))
+		return nil
+	}
+	fmt.Printf("%s: good: zone %s, %d classes, %d routes, %d members\n", file, s.Router.Zone, len(s.Classes),
+		len(s.Routes), len(s.Members))
+	return nil
+}
+
+func serve(ctx context.Context, file string) error {
+	s, err := load(file)
+	if err != nil {
+		return err
+	}
+	log, err := edge.NewAccessLog(s)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	e, err := edge.New(s, log)
+	if err != nil {
+		return err
+	}
+	log.Log.Info("serving", zap.String("name", s.Router.Name), zap.String("address", e.Addr()), zap.String("zone", s.Router.Zone))
+	context.AfterFunc(ctx, func() {
+		log.Log.Info("draining")
+		e.Drain()
+	})
+	err = e.Run()
+	log.Log.Info("ended")
+	return err
+}
+
+func runDemo(ctx context.Context, log string) error {
+	d, err := demo.Start(log)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	context.AfterFunc(ctx, d.Edge.Drain)
+	done := make(chan error, 1)
+	go func() { done <- d.Edge.Run() }()
+	if err := d.Edge.Ready(); err != nil {
+		return errors.Join(err, <-done)
+	}
+	d.Tell(os.Stdout)
+	return <-done
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,69 @@
+// Package cli is what the command lines of all programs share: exit codes, the
+// version, and how errors are told. Commands themselves are made with cobra, in
+// cmd/*.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of all programs.
+const (
+	Good  = 0
+	Found = 1 // the program did its work, and found something wrong
+	Usage = 2 // it was called wrongly, or could not do its work
+)
+
+// ErrFound ends a program with Found; what was found has been printed.
+var ErrFound = errors.New("found")
+
+// FoundError is an error that ends a program with Found.
+type FoundError struct{ Err error }
+
+func (f *FoundError) Error() string { return f.Err.Error() }
+func (f *FoundError) Unwrap() error { return f.Err }
+
+// Version is the module's version as built.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v += " " + s.Value[:min(12, len(s.Value))]
+		}
+	}
+	return v
+}
+
+// Main runs a program's root command and ends the process. The context ends at
+// SIGINT or SIGTERM.
+func Main(root *cobra.Command) {
+	root.Version = Version()
+	root.SilenceErrors, root.SilenceUsage = true, true
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := root.ExecuteContext(ctx)
+	stop()
+	var found *FoundError
+	switch {
+	case err == nil:
+		os.Exit(Good)
+	case errors.Is(err, ErrFound):
+		os.Exit(Found)
+	case errors.As(err, &found):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(Found)
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", root.Name(), err)
+	os.Exit(Usage)
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,112 @@
+// Package demo is a router with stand-ins around it in one process, on ports
+// that the kernel chooses: two zones' boxes, two parents and an origin. It is
+// for a first look by hand, and never for measuring.
+package demo
+
+import (
+	"fmt"
+	"io"
+
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+	"indigospool/internal/edge"
+	"indigospool/internal/standin"
+)
+
+const settings = `
+(router (name demo) (zone north) (listen "127.0.0.1:0") (admin "127.0.0.1:0") (list %q) (log %q))
+(zone north (routers 1) (hub hub)) (zone south (hub hub)) (zone hub (hub hub))
+(fill (flow 10) (direct) (joins) (siblings location) (feedback inflight x0))
+(class still (aim 400) (deadline 3000))
+(class film (parts) (aim 600) (deadline 6000))
+(class note (write) (effect guarded) (group all) (window 2000) (deadline 3000))
+(route "/s/{group}/{object}" (class still))
+(route "/v/{group}/{object}/{part}" (class film))
+(route "/n/{object}" (class note))
+`
+
+// Demo is a running demonstration.
+type Demo struct {
+	Edge  *edge.Edge
+	List  *standin.List
+	stops []func()
+	log   *edge.AccessLog
+}
+
+// Start starts it all. log is where the access log goes, as in the settings.
+func Start(log string) (*Demo, error) {
+	d := &Demo{}
+	ok := false
+	defer func() {
+		if !ok {
+			d.Close()
+		}
+	}()
+	var err error
+	if d.List, err = standin.StartList(standin.ListConfig{ID: "list"}, nil); err != nil {
+		return nil, err
+	}
+	d.stops = append(d.stops, d.List.Close)
+	start := func(id, role, zone, upstream string) (string, error) {
+		s, err := standin.Start(standin.Config{ID: id, Role: role, Zone: zone, Upstream: upstream, Flow: 10,
+			Capacity: 50, Latency: 2, Feedback: []string{"inflight", "x0"},
+			Classes: []standin.Class{{Name: "still", KB: 60}, {Name: "film", KB: 500}, {Name: "note", Write: true, Window: 2000}}}, nil)
+		if err != nil {
+			return "", err
+		}
+		d.stops = append(d.stops, s.Kill)
+		d.List.Set(core.Row{ID: id, Kind: role, Zone: zone, Address: s.Addr(), Start: 1}, 0)
+		return s.Addr(), nil
+	}
+	origin, err := start("origin", "origin", "hub", "")
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range []struct{ id, role, zone string }{
+		{"parent-1", "parent", "hub"}, {"parent-2", "parent", "hub"},
+		{"north-1", "box", "north"}, {"north-2", "box", "north"}, {"north-3", "box", "north"},
+		{"south-1", "box", "south"}, {"south-2", "box", "south"},
+	} {
+		if _, err := start(m.id, m.role, m.zone, origin); err != nil {
+			return nil, err
+		}
+	}
+	var s config.Settings
+	if err := config.Read("demo", fmt.Sprintf(settings, d.List.Addr(), log), &s); err != nil {
+		return nil, err
+	}
+	if d.log, err = edge.NewAccessLog(&s); err != nil {
+		return nil, err
+	}
+	if d.Edge, err = edge.New(&s, d.log); err != nil {
+		return nil, err
+	}
+	ok = true
+	return d, nil
+}
+
+// Close ends what Start started but for the router, which ends with its Run.
+func (d *Demo) Close() {
+	for _, f := range d.stops {
+		f()
+	}
+	if d.log != nil {
+		d.log.Close()
+	}
+}
+
+// Tell prints what can be fetched.
+func (d *Demo) Tell(w io.Writer) {
+	a := d.Edge.Addr()
+	fmt.Fprintf(w, `indigospool demo: a router of zone north at %[1]s, before 3 boxes, 2 parents and an origin.
+All are stand-ins in this process; zone south's boxes are listed and never asked from here.
+
+  curl -sD- -o/dev/null http://%[1]s/s/7/harbour.jpg    # a still: first a miss, then a hit
+  curl -sD- -o/dev/null http://%[1]s/v/7/harbour.mp4/0  # a part of a video
+  curl -sD- -XPOST -H'Idempotency-Key: 1' -d hello http://%[1]s/n/1  # a write, to the origin
+  curl -sX PURGE http://%[2]s/s/7/harbour.jpg           # void copies of the still (admin)
+  curl -s http://%[2]s/state                            # counters
+
+Cache-Status in the answers says which cache answered, and how. Interrupt to end.
+`, a, d.Edge.AdminAddr())
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -162,6 +162,21 @@
 	}
 }
 
+// Ready waits until the router runs and knows a list, for at most a few seconds.
+func (e *Edge) Ready() error {
+	for range 300 {
+		known := false
+		if err := e.Query(func(_ *Stats, c *core.Core) { c.Members(func(spool.Member, string) { known = true }) }); err != nil {
+			return err
+		}
+		if known {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("edge: no list of members after 3 s; is the list service %q reached?", e.s.Router.List)
+}
+
 // Stop ends the router at once, from any goroutine.
 func (e *Edge) Stop() { e.l.Stop() }
 
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,146 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+	"indigospool/internal/tap"
+)
+
+// Fleet is a file of stand-ins. Spans are in ms, sizes in KB, rates in KB a ms.
+type Fleet struct {
+	Stand   Stand       `edn:"stand"`
+	List    ListForm    `edn:"list"`
+	Classes []ClassForm `edn:"class"`
+	Members []Machine   `edn:"machine"`
+}
+
+// Stand is what all of them share.
+type Stand struct {
+	Flow     float64  `edn:"flow" def:"4" min:"0.01"` // of one transfer to a client
+	FillFlow float64  `edn:"fill-flow" min:"0"`       // of a fill; 0: three times that
+	FillWait float64  `edn:"fill-wait" def:"2000" min:"1"`
+	ColdFrom float64  `edn:"cold-from" def:"0.2" min:"0" max:"1"`
+	ColdTime float64  `edn:"cold-time" def:"18000" min:"0"`
+	Fall     float64  `edn:"fall" def:"4" min:"0"`
+	FallTime float64  `edn:"fall-time" def:"3000" min:"1"`
+	Feedback []string `edn:"feedback"`
+	Seed     int      `edn:"seed" def:"1"`
+}
+
+// ListForm is how late the list service is.
+type ListForm struct {
+	Listen    string  `edn:"listen" def:"127.0.0.1:0"`
+	LagFrom   float64 `edn:"lag-from" min:"0"`
+	LagTo     float64 `edn:"lag-to" min:"0"`
+	PurgeFrom float64 `edn:"purge-from" min:"0"`
+	PurgeTo   float64 `edn:"purge-to" min:"0"`
+}
+
+// ClassForm is a class as stand-ins know it.
+type ClassForm struct {
+	Name   string  `edn:"@,required"`
+	KB     float64 `edn:"kb" def:"60" min:"0.001"`
+	Fresh  float64 `edn:"fresh" min:"0"`
+	Write  bool    `edn:"write"`
+	Window float64 `edn:"window" min:"0"`
+}
+
+// Machine is one stand-in.
+type Machine struct {
+	Place    config.Place
+	ID       string  `edn:"@,required"`
+	Role     string  `edn:"role" def:"box" oneof:"box parent origin"`
+	Zone     string  `edn:"zone"`
+	Listen   string  `edn:"listen" def:"127.0.0.1:0"`
+	Upstream string  `edn:"upstream"` // of a parent: the origin's address
+	Capacity float64 `edn:"capacity" def:"20" min:"0"`
+	MB       float64 `edn:"mb" def:"64" min:"0.001"`
+	LinkIn   float64 `edn:"link" min:"0"`
+	Latency  float64 `edn:"latency" min:"0"`
+	Fills    int     `edn:"fills" min:"0"`
+	Cold     bool    `edn:"cold"`
+	RunOn    bool    `edn:"run-on"`
+	Limit    int     `edn:"limit" min:"0"`
+}
+
+// Check tells what contradicts itself.
+func (f *Fleet) Check(faults *config.Faults) {
+	seen := map[string]bool{}
+	for _, m := range f.Members {
+		if seen[m.ID] {
+			*faults = append(*faults, config.Fault{Pos: m.Place.Pos, Key: "machine",
+				What: fmt.Sprintf("machine %q is named twice", m.ID), Remedy: "keep one of them"})
+		}
+		seen[m.ID] = true
+		if m.Role == "parent" && m.Upstream == "" {
+			*faults = append(*faults, config.Fault{Pos: m.Place.Pos, Key: "machine/upstream",
+				What: "a parent needs the origin's address", Remedy: `add (upstream "host:port")`})
+		}
+	}
+	if f.List.LagTo < f.List.LagFrom || f.List.PurgeTo < f.List.PurgeFrom {
+		*faults = append(*faults, config.Fault{Pos: config.Pos{File: "list", Line: 1, Col: 1}, Key: "list",
+			What: "a lag ends before it begins", Remedy: "raise lag-to or purge-to"})
+	}
+}
+
+// ReadFleet reads a fleet file.
+func ReadFleet(file string) (*Fleet, error) {
+	f := &Fleet{}
+	return f, config.ReadFile(file, f)
+}
+
+// Config is what a machine of the fleet is started with.
+func (f *Fleet) Config(id string) (Config, error) {
+	for _, m := range f.Members {
+		if m.ID != id {
+			continue
+		}
+		c := Config{ID: m.ID, Role: m.Role, Zone: m.Zone, Listen: m.Listen, Upstream: m.Upstream, Cold: m.Cold,
+			Bytes: int64(m.MB * (1 << 20)), Capacity: m.Capacity, Flow: f.Stand.Flow, FillFlow: f.Stand.FillFlow,
+			LinkIn: m.LinkIn, Latency: m.Latency, MaxFills: m.Fills, FillWait: f.Stand.FillWait, RunOn: m.RunOn,
+			ColdFrom: f.Stand.ColdFrom, ColdTime: f.Stand.ColdTime, Fall: f.Stand.Fall, FallTime: f.Stand.FallTime,
+			Limit: m.Limit, Seed: uint64(f.Stand.Seed), Feedback: f.Stand.Feedback}
+		for _, k := range f.Classes {
+			c.Classes = append(c.Classes, Class{Name: k.Name, KB: k.KB, Fresh: k.Fresh, Write: k.Write, Window: k.Window})
+		}
+		return c, nil
+	}
+	return Config{}, fmt.Errorf("standin: the fleet has no machine %q", id)
+}
+
+// Run is one machine, or the list service, until the context ends.
+func (f *Fleet) Run(ctx context.Context, role, id string, w *tap.Writer, say io.Writer) error {
+	if role == "list" {
+		l, err := StartList(ListConfig{ID: "list", Listen: f.List.Listen, LagFrom: f.List.LagFrom, LagTo: f.List.LagTo,
+			PurgeFrom: f.List.PurgeFrom, PurgeTo: f.List.PurgeTo, Seed: uint64(f.Stand.Seed)}, w)
+		if err != nil {
+			return err
+		}
+		for _, m := range f.Members {
+			l.Set(core.Row{ID: m.ID, Kind: m.Role, Zone: m.Zone, Address: m.Listen, Start: 1}, 0)
+		}
+		fmt.Fprintf(say, "list service at %s\n", l.Addr())
+		<-ctx.Done()
+		l.Close()
+		return w.Err()
+	}
+	c, err := f.Config(id)
+	if err != nil {
+		return err
+	}
+	if c.Role != role {
+		return fmt.Errorf("standin: %s is a %s in the fleet, not a %s", id, c.Role, role)
+	}
+	s, err := Start(c, w)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(say, "%s %s at %s\n", role, id, s.Addr())
+	<-ctx.Done()
+	s.Kill()
+	return w.Err()
+}
