The five rules checked from a tap alone, each form of a break planted

Need: proof is what passed on the sockets, never the router's own word. Change: internal/rules; stand-ins record attempts that their asker has left, and reset connections that came while they were silent. Result: 19 planted breaks are each found, by their rule and no other; a rule with nothing to look at counts as unproven.

--- /dev/null
+++ b/internal/rules/rules.go
@@ -0,0 +1,538 @@
+// Package rules checks the five rules from a tap alone: from what stand-ins and
+// clients saw on their sockets. It knows nothing of what a router says of
+// itself, and shares no code with the decision module, so that one can't excuse
+// the other. For each rule it counts what it looked at: a rule with nothing to
+// look at is not kept but unproven.
+package rules
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"sort"
+
+	"indigospool/internal/tap"
+)
+
+// Class is what the rules need to know of a class.
+type Class struct {
+	Effect string  `json:"effect"` // free, guarded or single-shot
+	Group  string  `json:"group"`  // of guarded: nowhere, cell, zone or all
+	Window float64 `json:"window"` // ms
+}
+
+// Figures are the figures of the rules, in ms.
+type Figures struct {
+	AnswerSlack    float64          `json:"answer_slack"`
+	DrainGrace     float64          `json:"drain_grace"`
+	ColdFrom       float64          `json:"cold_from"`
+	ColdTime       float64          `json:"cold_time"`
+	FallFactor     float64          `json:"fall_factor"`
+	FallTime       float64          `json:"fall_time"`
+	ParentColdFrom float64          `json:"parent_cold_from"`
+	ParentColdTime float64          `json:"parent_cold_time"`
+	ParentFall     float64          `json:"parent_fall"`
+	PurgeSlack     float64          `json:"purge_slack"`
+	SecondCopies   bool             `json:"second_copies"`
+	Classes        map[string]Class `json:"classes"`
+	// Spread is how far apart two processes of one machine may see one thing:
+	// what is read later than it was sent counts as sent so much earlier.
+	Spread float64 `json:"spread"`
+}
+
+// Ev is the kind of the record that holds a tap's figures, in its note.
+const Ev = "figures"
+
+// Record is the figures as a record, the first of a tap.
+func (f Figures) Record() tap.Record {
+	b, err := json.Marshal(f)
+	if err != nil {
+		return tap.Record{Ev: Ev, Err: err.Error()}
+	}
+	return tap.Record{T: tap.Now(), Ev: Ev, Note: string(b)}
+}
+
+// FromTap finds the figures in a tap.
+func FromTap(recs []tap.Record) (f Figures, err error) {
+	for i := range recs {
+		if recs[i].Ev == Ev {
+			if err := json.Unmarshal([]byte(recs[i].Note), &f); err != nil {
+				return f, fmt.Errorf("rules: the tap's figures: %w", err)
+			}
+			return f, nil
+		}
+	}
+	return f, fmt.Errorf("rules: the tap holds no figures; it was not written by spool-day run")
+}
+
+// Break is one break of a rule.
+type Break struct {
+	T      float64      `json:"t"`
+	What   string       `json:"what"`
+	Around []tap.Record `json:"around,omitempty"` // of the first break of its rule
+}
+
+// Verdict is what was found of one rule.
+type Verdict struct {
+	Rule   int     `json:"rule"`
+	Name   string  `json:"name"`
+	Checks int     `json:"checks"`
+	Breaks []Break `json:"breaks,omitempty"`
+}
+
+// OK reports a rule that was looked at and not broken.
+func (v Verdict) OK() bool { return v.Checks > 0 && len(v.Breaks) == 0 }
+
+var names = [...]string{"", "one final answer in time", "no effect twice", "drains kept", "cold members not pushed over",
+	"no copy older than a purge"}
+
+// checker holds the tap in the forms that the checks need.
+type checker struct {
+	f     Figures
+	recs  []tap.Record
+	ids   map[string][]int // by client's request
+	kills map[string][]float64
+	lives map[string][]float64 // starts, by router
+	out   [6]Verdict
+}
+
+// Check judges a tap; its records are in the order of time afterwards.
+func Check(recs []tap.Record, f Figures) []Verdict {
+	tap.Sort(recs)
+	c := &checker{f: f, recs: recs, ids: map[string][]int{}, kills: map[string][]float64{}, lives: map[string][]float64{}}
+	for i := range c.out {
+		c.out[i] = Verdict{Rule: i, Name: names[i]}
+	}
+	for i := range recs {
+		r := &recs[i]
+		if r.ID != "" {
+			c.ids[r.ID] = append(c.ids[r.ID], i)
+		}
+		switch {
+		case r.Ev == tap.Kill && r.Role == "router":
+			c.kills[r.Who] = append(c.kills[r.Who], r.T)
+		case r.Ev == tap.Up && r.Role == "router":
+			c.lives[r.Who] = append(c.lives[r.Who], r.T)
+		}
+	}
+	c.answers()
+	c.effects()
+	c.drains()
+	c.cold()
+	c.purges()
+	return c.out[1:]
+}
+
+func (c *checker) fail(rule int, i int, format string, a ...any) {
+	v := &c.out[rule]
+	b := Break{T: c.recs[i].T, What: fmt.Sprintf(format, a...)}
+	if len(v.Breaks) == 0 {
+		b.Around = c.around(i)
+	}
+	v.Breaks = append(v.Breaks, b)
+}
+
+// around is what is known of the request that a record is of, and else the
+// records of the same member or router just before and after it.
+func (c *checker) around(i int) (out []tap.Record) {
+	r := &c.recs[i]
+	if r.ID != "" {
+		for _, k := range c.ids[r.ID] {
+			out = append(out, c.recs[k])
+		}
+		return out[:min(len(out), 24)]
+	}
+	for k := max(0, i-400); k < min(len(c.recs), i+100) && len(out) < 24; k++ {
+		if x := &c.recs[k]; x.Who == r.Who || k == i {
+			out = append(out, *x)
+		}
+	}
+	return out
+}
+
+// killed reports whether a router was killed between two times.
+func (c *checker) killed(router string, from, to float64) bool {
+	for _, t := range c.kills[router] {
+		if t >= from && t <= to {
+			return true
+		}
+	}
+	return false
+}
+
+// answers checks rule 1: for each request that a running router took, one
+// final answer before the client's time ran out, and nothing sent after it. A
+// router that was killed is forgiven what it held, and nothing else.
+func (c *checker) answers() {
+	for i := range c.recs {
+		ask := &c.recs[i]
+		if ask.Ev != tap.Ask {
+			continue
+		}
+		var heads int
+		var first, ended, late float64 = math.Inf(1), math.Inf(1), 0
+		var lateAt int
+		why, whole := "", false
+		for _, k := range c.ids[ask.ID] {
+			switch x := &c.recs[k]; {
+			case x.Ev == tap.Head:
+				heads++
+				first = min(first, x.T)
+				if heads == 2 {
+					c.fail(1, k, "request %s has a second answer (%d %s)", ask.ID, x.Status, x.Note)
+				}
+			case x.Ev == tap.End:
+				ended, why, whole = x.T, x.Err, x.Err == ""
+			case x.Ev == tap.Recv && x.Via == "":
+				if x.T > late {
+					late, lateAt = x.T, k
+				}
+			}
+		}
+		if why == "unreached" { // no connection: the router never took it
+			continue
+		}
+		if c.killed(ask.Who, ask.T-c.f.Spread, max(min(ask.Limit, ended), ask.T)+c.f.AnswerSlack+c.f.Spread) {
+			continue
+		}
+		if why == "gone" { // the client left by itself, as its script said
+			c.out[1].Checks++
+			if late > ended+c.f.Spread {
+				c.fail(1, lateAt, "request %s is sent %.0f ms after its client has left", ask.ID, late-ended)
+			}
+			continue
+		}
+		c.out[1].Checks++
+		switch limit := ask.Limit + c.f.AnswerSlack + c.f.Spread; {
+		case heads == 0:
+			c.fail(1, i, "request %s has no final answer (%s)", ask.ID, why)
+		case first > limit:
+			c.fail(1, i, "request %s is answered %.0f ms after its client's time ran out", ask.ID, first-ask.Limit)
+		}
+		// once the answer has begun, nothing more is sent for the request
+		if end := min(first, ended) + c.f.Spread; late > end {
+			c.fail(1, lateAt, "request %s is sent %.0f ms after its answer began (whole: %v)", ask.ID, late-first, whole)
+		}
+	}
+}
+
+// effects checks rule 2: no effect twice; a repeat only inside its group and
+// its window, or where the attempt before surely never ran; two attempts at
+// once only where they are allowed.
+func (c *checker) effects() {
+	ran := map[string]int{}
+	type attempt struct {
+		i        int
+		from, to float64
+		n        int
+		sent     int // status; 0: none yet
+	}
+	byReq := map[string][]attempt{}
+	zone := map[string]string{}
+	for i := range c.recs {
+		switch r := &c.recs[i]; r.Ev {
+		case tap.Up:
+			if r.Role != "router" {
+				zone[r.Who] = r.Note
+			}
+		case tap.Ran:
+			c.out[2].Checks++
+			if r.Note != "dropped" && r.Key != "" && c.f.Classes[r.Class].Effect != "free" {
+				if ran[r.Key]++; ran[r.Key] == 2 {
+					c.fail(2, i, "the effect of key %q happened twice", r.Key)
+				}
+			}
+		case tap.Recv:
+			if r.Via == "" && r.Req != "" {
+				byReq[r.Req] = append(byReq[r.Req], attempt{i: i, from: r.T, to: math.Inf(1), n: r.N})
+			}
+		case tap.Sent, tap.Left:
+			list := byReq[r.Req]
+			for k := range list {
+				if a := &list[k]; r.Via == "" && a.n == r.N && c.recs[a.i].Who == r.Who {
+					a.to = min(a.to, r.T)
+					if r.Ev == tap.Sent {
+						a.sent = r.Status
+					}
+				}
+			}
+		}
+	}
+	reqs := make([]string, 0, len(byReq))
+	for req := range byReq {
+		reqs = append(reqs, req)
+	}
+	sort.Strings(reqs)
+	for _, req := range reqs {
+		list := byReq[req]
+		first := &c.recs[list[0].i]
+		class := c.f.Classes[first.Class]
+		c.out[2].Checks++
+		for k := 1; k < len(list); k++ {
+			a, before := &list[k], &list[k-1]
+			r := &c.recs[a.i]
+			if !c.f.SecondCopies && a.from < before.to-c.f.Spread && a.n != before.n {
+				c.fail(2, a.i, "request %s has two attempts out at once, %d and %d", req, before.n, a.n)
+			}
+			mayHaveRun := before.sent != 503 && before.sent != 504
+			switch {
+			case class.Effect == "single-shot" && mayHaveRun:
+				c.fail(2, a.i, "single-shot request %s is sent again, though attempt %d may have run", req, before.n)
+			case class.Effect == "guarded" && mayHaveRun && r.T-first.T > class.Window+c.f.Spread:
+				c.fail(2, a.i, "guarded request %s is repeated %.0f ms after its first attempt; repeats are dropped for %.0f",
+					req, r.T-first.T, class.Window)
+			case class.Effect == "guarded" && mayHaveRun && class.Group == "zone" && zone[r.Who] != zone[first.Who],
+				class.Effect == "guarded" && mayHaveRun && class.Group == "nowhere":
+				c.fail(2, a.i, "guarded request %s is repeated outside of its group, at %s after %s", req, r.Who, first.Who)
+			}
+		}
+	}
+}
+
+// drains checks rule 3: from a grace after a router was told that a member
+// drains or is gone, it sends it nothing new, and names it as no source.
+func (c *checker) drains() {
+	type key struct{ router, member string }
+	out := map[key]float64{} // told not serving, and when
+	known := map[string]map[string]bool{}
+	fullAt := map[string]float64{}
+	inFull := map[string]map[string]bool{}
+	closeFull := func(router string) {
+		named := inFull[router]
+		if named == nil {
+			return
+		}
+		for m := range known[router] {
+			if _, is := out[key{router, m}]; !named[m] && !is {
+				out[key{router, m}] = fullAt[router]
+			}
+		}
+		delete(inFull, router)
+	}
+	for i := range c.recs {
+		r := &c.recs[i]
+		switch {
+		case r.Ev == tap.Up && r.Role == "router": // a new life knows only what it is told
+			for k := range out {
+				if k.router == r.Who {
+					delete(out, k)
+				}
+			}
+			delete(known, r.Who)
+			delete(inFull, r.Who)
+		case r.Ev == tap.Told && r.Note == "full":
+			closeFull(r.Who)
+			inFull[r.Who], fullAt[r.Who] = map[string]bool{}, r.T
+		case r.Ev == tap.Told && r.Src != "":
+			if known[r.Who] == nil {
+				known[r.Who] = map[string]bool{}
+			}
+			if r.T != fullAt[r.Who] {
+				closeFull(r.Who)
+			} else if named := inFull[r.Who]; named != nil {
+				named[r.Src] = true
+			}
+			known[r.Who][r.Src] = true
+			k := key{r.Who, r.Src}
+			if r.State == "serving" {
+				delete(out, k)
+			} else if _, is := out[k]; !is {
+				out[k] = r.T
+			}
+		case r.Ev == tap.Recv && r.Via == "":
+			closeFull(r.From)
+			for _, m := range []string{r.Who, r.Src} {
+				if m == "" {
+					continue
+				}
+				t, is := out[key{r.From, m}]
+				if !is {
+					continue
+				}
+				c.out[3].Checks++
+				if r.T > t+c.f.DrainGrace+c.f.Spread {
+					as := "as a request"
+					if m == r.Src && m != r.Who {
+						as = "as a source"
+					}
+					c.fail(3, i, "%s used %s %s %.0f ms after it was told that it drains or is gone", r.From, m, as, r.T-t)
+				}
+			}
+			c.out[3].Checks++
+		}
+	}
+}
+
+// cold checks rule 4: what all routers together send a member that has just
+// started, against its present capacity times the multiple, in every window.
+// Two thirds of it must come from routers that were told of its start.
+func (c *checker) cold() {
+	type life struct {
+		up       *tap.Record
+		arrivals []int
+		broken   bool
+	}
+	type key struct {
+		who   string
+		start int64
+	}
+	lives := map[key]*life{}
+	told := map[[2]string]int64{}
+	for i := range c.recs {
+		r := &c.recs[i]
+		switch {
+		case r.Ev == tap.Up && r.Cold && (r.Role == "box" || r.Role == "parent"):
+			lives[key{r.Who, r.Start}] = &life{up: r}
+		case r.Ev == tap.Told && r.Src != "":
+			told[[2]string{r.Who, r.Src}] = max(told[[2]string{r.Who, r.Src}], r.Start)
+		case r.Ev == tap.Recv:
+			l := lives[key{r.Who, r.Start}]
+			if l == nil || l.broken {
+				continue
+			}
+			from, span, factor := c.f.ColdFrom, c.f.ColdTime, c.f.FallFactor
+			if l.up.Role == "parent" {
+				from, span, factor = c.f.ParentColdFrom, c.f.ParentColdTime, c.f.ParentFall
+			}
+			age := r.T - l.up.T
+			if age >= span || l.up.Work <= 0 {
+				continue
+			}
+			c.out[4].Checks++
+			l.arrivals = append(l.arrivals, i)
+			for len(l.arrivals) > 0 && c.recs[l.arrivals[0]].T <= r.T-c.f.FallTime {
+				l.arrivals = l.arrivals[1:]
+			}
+			sum, knew := 0.0, 0.0
+			for _, k := range l.arrivals {
+				x := &c.recs[k]
+				sum += x.Work
+				if told[[2]string{x.From, r.Who}] >= r.Start {
+					knew += x.Work
+				}
+			}
+			budget := factor * l.up.Work * (from + (1-from)*age/span) * c.f.FallTime
+			if len(l.arrivals) > 1 && sum > budget && knew >= sum*2/3 {
+				l.broken = true
+				c.fail(4, i, "%s (start %d, up for %.0f ms) was sent %.0f ms of work in %.0f ms, where %.0f push it over",
+					r.Who, r.Start, age, sum, c.f.FallTime, budget)
+			}
+		}
+	}
+}
+
+// purges checks rule 5: from a grace after a router was told of a purge,
+// nothing that it sends is answered from an older version. What counts is the
+// origin's version, not an age that a cache states.
+func (c *checker) purges() {
+	type purge struct{ made, told float64 }
+	objects, groups := map[string][]float64{}, map[int][]float64{}
+	type to struct {
+		router, object string
+		group          int
+	}
+	told := map[to][]purge{}
+	type at struct {
+		who, req string
+		n        int
+		start    int64
+	}
+	recv := map[at]float64{}
+	count := func(list []float64, until float64) (n int64) {
+		for _, t := range list {
+			if t <= until {
+				n++
+			}
+		}
+		return n
+	}
+	for i := range c.recs {
+		r := &c.recs[i]
+		switch {
+		case r.Ev == tap.Up && r.Role == "router":
+			for k := range told {
+				if k.router == r.Who {
+					delete(told, k)
+				}
+			}
+		case r.Ev == tap.Purge && r.Object != "":
+			objects[r.Object] = append(objects[r.Object], r.T)
+		case r.Ev == tap.Purge:
+			groups[r.Group] = append(groups[r.Group], r.T)
+		case r.Ev == tap.Told && r.Note == "purge":
+			k := to{r.Who, r.Object, r.Group}
+			if r.Object != "" {
+				k.group = 0
+			}
+			told[k] = append(told[k], purge{r.Born, r.T})
+		case r.Ev == tap.Recv && r.Via == "":
+			recv[at{r.Who, r.Req, r.N, r.Start}] = r.T
+		case r.Ev == tap.Sent && r.Via == "" && r.Status == 200 && !r.Write:
+			t, ok := recv[at{r.Who, r.Req, r.N, r.Start}]
+			if !ok {
+				continue
+			}
+			var bind float64 // the latest purge that binds this attempt
+			for _, k := range []to{{r.From, r.Object, 0}, {r.From, "", r.Group}} {
+				for _, p := range told[k] {
+					if t > p.told+c.f.PurgeSlack+c.f.Spread {
+						bind = max(bind, p.made)
+					}
+				}
+			}
+			c.out[5].Checks++
+			if bind == 0 {
+				continue
+			}
+			if least := 1 + count(objects[r.Object], bind) + count(groups[r.Group], bind); r.Ver < least {
+				c.fail(5, i, "%s answered %s from version %d, though %s was told of the purge that made version %d",
+					r.Who, r.Object, r.Ver, r.From, least)
+			}
+		}
+	}
+}
+
+// Summary is the verdicts in a few lines.
+func Summary(vs []Verdict) string {
+	s := ""
+	for _, v := range vs {
+		word := "kept"
+		switch {
+		case v.Checks == 0:
+			word = "UNPROVEN: nothing to look at"
+		case len(v.Breaks) > 0:
+			word = fmt.Sprintf("BROKEN %d times", len(v.Breaks))
+		}
+		s += fmt.Sprintf("rule %d  %-30s %8d checks  %s\n", v.Rule, v.Name, v.Checks, word)
+	}
+	return s
+}
+
+// Details tells each rule's breaks, at most a few, and the records around the first.
+func Details(vs []Verdict) string {
+	s := ""
+	for _, v := range vs {
+		for i, b := range v.Breaks {
+			if i == 5 {
+				s += fmt.Sprintf("  ... and %d more of rule %d\n", len(v.Breaks)-i, v.Rule)
+				break
+			}
+			s += fmt.Sprintf("rule %d broken at %.1f ms: %s\n", v.Rule, b.T, b.What)
+			for _, r := range b.Around {
+				line, _ := json.Marshal(r)
+				s += "    " + string(line) + "\n"
+			}
+		}
+	}
+	return s
+}
+
+// AllOK reports whether every rule was looked at and kept.
+func AllOK(vs []Verdict) bool {
+	for _, v := range vs {
+		if !v.OK() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/rules/rules_test.go
@@ -0,0 +1,208 @@
+package rules
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"indigospool/internal/tap"
+)
+
+var figures = Figures{AnswerSlack: 50, DrainGrace: 500, ColdFrom: 0.2, ColdTime: 18000, FallFactor: 4, FallTime: 3000,
+	ParentColdFrom: 0.1, ParentColdTime: 20000, ParentFall: 2, PurgeSlack: 300, Spread: 20,
+	Classes: map[string]Class{"still": {Effect: "free"}, "order": {Effect: "guarded", Group: "zone", Window: 2000},
+		"once": {Effect: "single-shot"}}}
+
+// good is a day without a break: every rule has something to look at.
+func good() []tap.Record {
+	return []tap.Record{
+		{T: 0, Ev: tap.Up, Who: "r1", Role: "router"},
+		{T: 0, Ev: tap.Up, Who: "b1", Role: "box", Start: 1, Work: 10, Note: "z"},
+		{T: 0, Ev: tap.Up, Who: "b2", Role: "box", Start: 1, Work: 10, Note: "y"},
+		{T: 5, Ev: tap.Told, Who: "r1", Note: "full"},
+		{T: 5, Ev: tap.Told, Who: "r1", Src: "b1", State: "serving", Start: 1},
+		{T: 5, Ev: tap.Told, Who: "r1", Src: "b2", State: "serving", Start: 1},
+		// a look, a fill and a hit
+		{T: 100, Ev: tap.Ask, ID: "c1", Who: "r1", Limit: 1100, Class: "still"},
+		{T: 101, Ev: tap.Recv, ID: "c1", Who: "b1", Start: 1, Req: "q1", N: 0, From: "r1", Class: "still", Object: "/a", Group: 7, Work: 30},
+		{T: 102, Ev: tap.Sent, ID: "c1", Who: "b1", Start: 1, Req: "q1", N: 0, From: "r1", Object: "/a", Group: 7, Status: 504},
+		{T: 103, Ev: tap.Recv, ID: "c1", Who: "b1", Start: 1, Req: "q1", N: 1, From: "r1", Src: "b2", Class: "still", Object: "/a", Group: 7, Work: 30},
+		{T: 110, Ev: tap.Sent, ID: "c1", Who: "b1", Start: 1, Req: "q1", N: 1, From: "r1", Object: "/a", Group: 7, Status: 200, Ver: 1},
+		{T: 111, Ev: tap.Head, ID: "c1", Who: "r1", Status: 200},
+		{T: 120, Ev: tap.End, ID: "c1", Who: "r1"},
+		// a purge, and an answer of the new version
+		{T: 1000, Ev: tap.Purge, Who: "o", Object: "/a"},
+		{T: 1100, Ev: tap.Told, Who: "r1", Note: "purge", Object: "/a", Born: 1000},
+		{T: 1500, Ev: tap.Ask, ID: "c2", Who: "r1", Limit: 2500, Class: "still"},
+		{T: 1501, Ev: tap.Recv, ID: "c2", Who: "b1", Start: 1, Req: "q2", N: 0, From: "r1", Class: "still", Object: "/a", Group: 7, Work: 30},
+		{T: 1502, Ev: tap.Sent, ID: "c2", Who: "b1", Start: 1, Req: "q2", N: 0, From: "r1", Object: "/a", Group: 7, Status: 200, Ver: 2},
+		{T: 1503, Ev: tap.Head, ID: "c2", Who: "r1", Status: 200},
+		{T: 1504, Ev: tap.End, ID: "c2", Who: "r1"},
+		// b2 drains
+		{T: 2000, Ev: tap.Told, Who: "r1", Src: "b2", State: "draining", Start: 1},
+		// b3 starts cold
+		{T: 3000, Ev: tap.Up, Who: "b3", Role: "box", Start: 2, Cold: true, Work: 10, Note: "z"},
+		{T: 3100, Ev: tap.Told, Who: "r1", Src: "b3", State: "serving", Start: 2},
+		{T: 3200, Ev: tap.Recv, ID: "c9", Who: "b3", Start: 2, Req: "q9", N: 0, From: "r1", Class: "still", Object: "/z", Work: 30},
+		{T: 3201, Ev: tap.Sent, ID: "c9", Who: "b3", Start: 2, Req: "q9", N: 0, From: "r1", Class: "still", Object: "/z", Status: 200, Ver: 1},
+		// a write, repeated in its window
+		{T: 4000, Ev: tap.Recv, ID: "c5", Who: "b1", Start: 1, Req: "q5", N: 0, From: "r1", Class: "order", Key: "k1", Write: true},
+		{T: 4001, Ev: tap.Ran, ID: "c5", Who: "o", Req: "q5", N: 0, From: "r1", Class: "order", Key: "k1", Write: true},
+		{T: 4500, Ev: tap.Left, ID: "c5", Who: "b1", Start: 1, Req: "q5", N: 0, From: "r1", Class: "order", Key: "k1", Write: true},
+		{T: 4501, Ev: tap.Recv, ID: "c5", Who: "b1", Start: 1, Req: "q5", N: 1, From: "r1", Class: "order", Key: "k1", Write: true},
+		{T: 4502, Ev: tap.Ran, ID: "c5", Who: "o", Req: "q5", N: 1, From: "r1", Class: "order", Key: "k1", Write: true, Note: "dropped"},
+		{T: 4503, Ev: tap.Sent, ID: "c5", Who: "b1", Start: 1, Req: "q5", N: 1, From: "r1", Class: "order", Key: "k1", Write: true, Status: 200},
+	}
+}
+
+func TestGoodDay(t *testing.T) {
+	vs := Check(good(), figures)
+	if !AllOK(vs) {
+		t.Fatalf("a good day:\n%s%s", Summary(vs), Details(vs))
+	}
+}
+
+// Each form of each rule's break, planted into the good day, is found, and
+// nothing else is.
+func TestPlantedBreaks(t *testing.T) {
+	recv := func(at float64, who, req string, n int) tap.Record {
+		return tap.Record{T: at, Ev: tap.Recv, Who: who, Start: 1, Req: req, N: n, From: "r1", Class: "still", Object: "/q"}
+	}
+	burst := func(who string, start int64, from float64, n int, work float64, via string) (out []tap.Record) {
+		for i := range n {
+			r := recv(from+float64(i), who, "w"+string(rune('A'+i)), 0)
+			r.Start, r.Work, r.Via = start, work, via
+			out = append(out, r)
+		}
+		return out
+	}
+	parent := tap.Record{T: 3000, Ev: tap.Up, Who: "p", Role: "parent", Start: 2, Cold: true, Work: 10}
+	parentTold := tap.Record{T: 3001, Ev: tap.Told, Who: "r1", Src: "p", State: "serving", Start: 2}
+	for _, c := range []struct {
+		name string
+		rule int
+		add  []tap.Record
+		drop func(tap.Record) bool
+		want string
+	}{
+		{"no answer", 1, nil, func(r tap.Record) bool { return r.ID == "c1" && (r.Ev == tap.Head || r.Ev == tap.End) }, "no final answer"},
+		{"no answer, and the connection ended", 1, []tap.Record{{T: 130, Ev: tap.End, ID: "c1", Who: "r1", Err: "closed"}},
+			func(r tap.Record) bool { return r.ID == "c1" && (r.Ev == tap.Head || r.Ev == tap.End && r.Err == "") }, "no final answer (closed)"},
+		{"late", 1, []tap.Record{{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000}, {T: 6100, Ev: tap.Head, ID: "c7"},
+			{T: 6101, Ev: tap.End, ID: "c7"}}, nil, "after its client's time ran out"},
+		{"two answers", 1, []tap.Record{{T: 112, Ev: tap.Head, ID: "c1", Status: 503}}, nil, "second answer"},
+		{"sent after the answer", 1, []tap.Record{{T: 160, Ev: tap.Recv, ID: "c1", Who: "b1", Start: 1, Req: "q1", N: 2, From: "r1", Class: "still"}},
+			nil, "after its answer began"},
+		{"sent after the client left", 1, []tap.Record{{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000},
+			{T: 5010, Ev: tap.End, ID: "c7", Err: "gone"}, {T: 5050, Ev: tap.Recv, ID: "c7", Who: "b1", Req: "q7", From: "r1", Class: "still"}},
+			nil, "after its client has left"},
+		{"effect twice", 2, []tap.Record{{T: 4600, Ev: tap.Ran, Who: "o", Req: "q6", Class: "order", Key: "k1", Write: true}}, nil, "happened twice"},
+		{"single-shot again", 2, []tap.Record{
+			{T: 5000, Ev: tap.Recv, Who: "b1", Req: "q8", N: 0, From: "r1", Class: "once", Write: true},
+			{T: 5100, Ev: tap.Left, Who: "b1", Req: "q8", N: 0, From: "r1", Class: "once", Write: true},
+			{T: 5101, Ev: tap.Recv, Who: "b1", Req: "q8", N: 1, From: "r1", Class: "once", Write: true}}, nil, "though attempt 0 may have run"},
+		{"guarded past its window", 2, []tap.Record{
+			{T: 6100, Ev: tap.Recv, Who: "b1", Req: "q5", N: 2, From: "r1", Class: "order", Key: "k1", Write: true}}, nil, "repeats are dropped for 2000"},
+		{"guarded outside its group", 2, []tap.Record{
+			{T: 4600, Ev: tap.Recv, Who: "b3", Req: "q5", N: 2, From: "r1", Class: "order", Key: "k1", Write: true},
+			{T: 4610, Ev: tap.Sent, Who: "b3", Req: "q5", N: 2, From: "r1", Status: 500},
+			{T: 4620, Ev: tap.Recv, Who: "o9", Req: "q5", N: 3, From: "r1", Class: "order", Key: "k1", Write: true}}, nil, "outside of its group"},
+		{"two at once", 2, []tap.Record{recv(5000, "b1", "q8", 0), recv(5050, "b3", "q8", 1)}, nil, "two attempts out at once"},
+		{"request to a draining box", 3, []tap.Record{recv(2600, "b2", "q8", 0)}, nil, "as a request"},
+		{"draining box as source", 3, []tap.Record{{T: 2600, Ev: tap.Recv, Who: "b1", Start: 1, Src: "b2", Req: "q8", From: "r1"}}, nil, "as a source"},
+		{"box missing from a full list", 3, []tap.Record{{T: 5000, Ev: tap.Told, Who: "r1", Note: "full"},
+			{T: 5000, Ev: tap.Told, Who: "r1", Src: "b3", State: "serving", Start: 2}, recv(5600, "b1", "q8", 0)}, nil, "b1 as a request"},
+		{"told in a full list after a restart", 3, []tap.Record{{T: 5000, Ev: tap.Up, Who: "r1", Role: "router"},
+			{T: 5001, Ev: tap.Told, Who: "r1", Note: "full"}, {T: 5001, Ev: tap.Told, Who: "r1", Src: "b2", State: "draining", Start: 1},
+			recv(5600, "b2", "q8", 0)}, nil, "b2 as a request"},
+		{"cold box pushed over", 4, burst("b3", 2, 3300, 20, 2000, ""), nil, "b3 (start 2"},
+		{"cold parent pushed over by fills", 4, append([]tap.Record{parent, parentTold}, burst("p", 2, 3300, 20, 2000, "b1")...), nil, "p (start 2"},
+		{"old copy after an object's purge", 5, []tap.Record{recv(1450, "b1", "q8", 0), {T: 1451, Ev: tap.Sent, Who: "b1", Start: 1, Req: "q8",
+			From: "r1", Object: "/a", Status: 200, Ver: 1}}, nil, "answered /a from version 1"},
+		{"old copy after a group's purge", 5, []tap.Record{{T: 5000, Ev: tap.Purge, Who: "o", Group: 9},
+			{T: 5100, Ev: tap.Told, Who: "r1", Note: "purge", Group: 9, Born: 5000}, recv(5500, "b1", "q8", 0),
+			{T: 5501, Ev: tap.Sent, Who: "b1", Start: 1, Req: "q8", From: "r1", Object: "/g", Group: 9, Status: 200, Ver: 1}}, nil,
+			"answered /g from version 1"},
+	} {
+		recs := []tap.Record{}
+		for _, r := range append(good(), c.add...) {
+			if c.drop == nil || !c.drop(r) {
+				recs = append(recs, r)
+			}
+		}
+		for _, v := range Check(recs, figures) {
+			broken := len(v.Breaks) > 0
+			if broken != (v.Rule == c.rule) {
+				t.Errorf("%s: rule %d broken: %v; want rule %d only\n%s", c.name, v.Rule, broken, c.rule, Details([]Verdict{v}))
+			} else if broken && !strings.Contains(v.Breaks[0].What, c.want) {
+				t.Errorf("%s: told as %q, want %q in it", c.name, v.Breaks[0].What, c.want)
+			} else if broken && len(v.Breaks[0].Around) == 0 {
+				t.Errorf("%s: no records around the break", c.name)
+			}
+		}
+	}
+}
+
+// What the rules forgive: a killed router what it held, and only that; use
+// within the grace; what was sent before the word of a purge had time to act.
+func TestForgiven(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		add  []tap.Record
+	}{
+		{"killed with a request in hand", []tap.Record{{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000},
+			{T: 5500, Ev: tap.Kill, Who: "r1", Role: "router"}, {T: 5500, Ev: tap.End, ID: "c7", Err: "closed"}}},
+		{"never reached", []tap.Record{{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000}, {T: 5001, Ev: tap.End, ID: "c7", Err: "unreached"}}},
+		{"within the drain's grace", []tap.Record{{T: 2400, Ev: tap.Recv, Who: "b2", Start: 1, Req: "q8", From: "r1", Class: "still"}}},
+		{"back in service", []tap.Record{{T: 5000, Ev: tap.Told, Who: "r1", Src: "b2", State: "serving", Start: 2},
+			{T: 5600, Ev: tap.Recv, Who: "b2", Start: 2, Req: "q8", From: "r1", Class: "still"}}},
+		{"within the purge's grace", []tap.Record{{T: 1350, Ev: tap.Recv, Who: "b1", Start: 1, Req: "q8", From: "r1"},
+			{T: 1900, Ev: tap.Sent, Who: "b1", Start: 1, Req: "q8", From: "r1", Object: "/a", Status: 200, Ver: 1}}},
+		{"turned away before it ran", []tap.Record{{T: 5000, Ev: tap.Recv, Who: "b1", Req: "q8", N: 0, From: "r1", Class: "once", Write: true},
+			{T: 5001, Ev: tap.Sent, Who: "b1", Req: "q8", N: 0, From: "r1", Status: 503},
+			{T: 5002, Ev: tap.Recv, Who: "b1", Req: "q8", N: 1, From: "r1", Class: "once", Write: true}}},
+	} {
+		if vs := Check(append(good(), c.add...), figures); !AllOK(vs) {
+			t.Errorf("%s:\n%s", c.name, Details(vs))
+		}
+	}
+	late := append(good(), tap.Record{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000},
+		tap.Record{T: 7000, Ev: tap.Kill, Who: "r1", Role: "router"})
+	if vs := Check(late, figures); len(vs[0].Breaks) != 1 {
+		t.Error("a router killed long after a client's time ran out was forgiven")
+	}
+}
+
+func TestNothingToLookAt(t *testing.T) {
+	vs := Check(nil, figures)
+	if AllOK(vs) || strings.Count(Summary(vs), "UNPROVEN") != 5 {
+		t.Errorf("an empty tap:\n%s", Summary(vs))
+	}
+}
+
+// A tap that was written and read again is judged as it was.
+func TestTapRoundTrip(t *testing.T) {
+	var b bytes.Buffer
+	w := tap.NewWriter(&b)
+	w.Add(figures.Record())
+	for _, r := range good() {
+		line, _ := json.Marshal(r)
+		b.Write(append(line, '\n'))
+	}
+	b.WriteString(`{"t":9,"ev":"re`) // a killed process's last line
+	recs, err := tap.Read(&b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := FromTap(recs)
+	if err != nil || f.Classes["order"].Window != 2000 {
+		t.Fatal(f, err)
+	}
+	if vs := Check(recs, f); !AllOK(vs) {
+		t.Error(Details(vs))
+	}
+	if _, err := tap.Read(strings.NewReader("{}\nnonsense\n{}\n")); err == nil || !strings.Contains(err.Error(), "line 2") {
+		t.Errorf("nonsense in the middle: %v", err)
+	}
+}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"indigospool/internal/tap"
 )
@@ -137,7 +138,7 @@
 	}
 }
 
-// silent reports a vanished stand-in and until when.
+// refusing reports until when no connection is taken; 0: they are.
 func (f *faults) refusing(now float64) (until float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -149,6 +150,14 @@
 	return until
 }
 
+// reset closes a connection as a machine does that knows nothing of it.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
 // gatedListener stops taking connections while its stand-in is silent: the
 // kernel's queue is made as short as it can be, so that further connects hang.
 type gatedListener struct {
@@ -194,7 +203,21 @@
 				now = tap.Now()
 				until = g.f.refusing(now)
 			}
+			// what came meanwhile never reached a machine that was silent
+			reset(c)
+			if t, ok := g.Listener.(*net.TCPListener); ok {
+				t.SetDeadline(time.Now().Add(2 * time.Millisecond))
+				for {
+					late, err := t.Accept()
+					if err != nil {
+						break
+					}
+					reset(late)
+				}
+				t.SetDeadline(time.Time{})
+			}
 			g.backlog(1024)
+			continue
 		}
 		if g.f.on(AcceptShut) {
 			c.Close()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -228,7 +228,19 @@
 		v.reset()
 		return
 	}
+	answered := make(chan struct{})
+	stop := context.AfterFunc(r.Context(), func() {
+		select {
+		case <-answered:
+		default:
+			left := v.rec
+			left.Ev = tap.Left
+			s.tap.Add(left)
+		}
+	})
 	v.serve()
+	close(answered)
+	stop()
 }
 
 func (s *Server) control(w http.ResponseWriter, r *http.Request) {
@@ -303,10 +315,7 @@
 
 func (v *visit) reset() {
 	if c, _, err := v.w.(http.Hijacker).Hijack(); err == nil {
-		if t, ok := c.(*net.TCPConn); ok {
-			t.SetLinger(0)
-		}
-		c.Close()
+		reset(c)
 	}
 }
 
--- a/internal/tap/tap.go
+++ b/internal/tap/tap.go
@@ -27,6 +27,7 @@
 	Recv  = "recv"  // a stand-in has the attempt's whole head
 	Sent  = "sent"  // a stand-in has answered it, before the first byte of the body
 	Done  = "done"  // and after the last
+	Left  = "left"  // the asker has closed the attempt before it was answered
 	Ran   = "ran"   // the origin ran a write
 	Told  = "told"  // the list service has written news to a router (Who: router)
 	Purge = "purge" // a purge was made at the origin
