--- /dev/null
+++ b/internal/day/clients.go
@@ -0,0 +1,359 @@
+package day
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"indigospool/internal/fillwire"
+	"indigospool/internal/standin"
+	"indigospool/internal/tap"
+)
+
+// clients make requests of one zone: arrivals are open-loop, so that a slow
+// router meets as many as a fast one.
+type clients struct {
+	d    *Day
+	zone string
+	rate float64
+	rng  *rand.Rand // of the arrivals only; each session has its own
+	seq  *atomic.Int64
+	wg   *sync.WaitGroup
+}
+
+// run makes sessions until the context ends.
+func (c *clients) run(ctx context.Context) {
+	var total float64
+	for i := range c.d.s.Classes {
+		total += c.d.s.Classes[i].Share / c.d.s.Classes[i].meanParts()
+	}
+	if total <= 0 {
+		return
+	}
+	// a session makes several requests: sessions come so much more rarely
+	var perSession float64
+	for i := range c.d.s.Classes {
+		perSession += c.d.s.Classes[i].Share / total
+	}
+	next := tap.Now()
+	for {
+		next += c.rng.ExpFloat64() * 1000 * perSession / c.rate
+		if d := next - tap.Now(); d > 0.5 {
+			select {
+			case <-time.After(time.Duration(d * float64(time.Millisecond))):
+			case <-ctx.Done():
+				return
+			}
+		} else if ctx.Err() != nil {
+			return
+		}
+		u := c.rng.Float64() * total
+		class := &c.d.s.Classes[len(c.d.s.Classes)-1]
+		for i := range c.d.s.Classes {
+			k := &c.d.s.Classes[i]
+			if u -= k.Share / k.meanParts(); u < 0 {
+				class = k
+				break
+			}
+		}
+		rng := rand.New(rand.NewPCG(c.rng.Uint64(), c.rng.Uint64()))
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			c.session(ctx, class, rng)
+		}()
+	}
+}
+
+// meanParts is how many requests a session makes in the mean.
+func (k *Class) meanParts() float64 {
+	if k.Parts == 0 {
+		return 1
+	}
+	if k.Stay >= 1 {
+		return float64(k.Parts)
+	}
+	return max((1-math.Pow(k.Stay, float64(k.Parts)))/(1-k.Stay), 1)
+}
+
+// object is the number of an object: popular ones are small.
+func (c *clients) object(k *Class, rng *rand.Rand) string {
+	now := tap.Now()
+	if hot := c.d.hot.Load(); hot != nil && now < hot.until && rng.Float64() < hot.share {
+		return hot.name
+	}
+	if scan := c.d.scan.Load(); scan != nil && now < scan.until && rng.Float64() < scan.share {
+		return fmt.Sprintf("once%d", c.seq.Add(1))
+	}
+	z := rand.NewZipf(rng, k.Zipf, 1, uint64(k.Objects-1))
+	if k.Objects == 1 || z == nil {
+		return "o0"
+	}
+	return fmt.Sprintf("o%d", z.Uint64())
+}
+
+// groupOf is the group of an object, fixed by its name.
+func groupOf(name string, groups int) int {
+	h := uint32(2166136261)
+	for i := 0; i < len(name); i++ {
+		h = (h ^ uint32(name[i])) * 16777619
+	}
+	return int(h % uint32(groups))
+}
+
+func (c *clients) session(ctx context.Context, k *Class, rng *rand.Rand) {
+	name := c.object(k, rng)
+	base := fmt.Sprintf("/%s/%d/%s", k.Name, groupOf(k.Name+name, c.d.s.Day.Groups), name)
+	if k.Write {
+		base = fmt.Sprintf("/%s/0/w%d", k.Name, c.seq.Add(1))
+	}
+	if k.Parts == 0 {
+		c.want(ctx, k, base, rng)
+		return
+	}
+	for part := 0; part < k.Parts; part++ {
+		if !c.want(ctx, k, fmt.Sprintf("%s/%d", base, part), rng) || rng.Float64() >= k.Stay {
+			return
+		}
+		select {
+		case <-time.After(time.Duration(k.Gap * (0.5 + rng.Float64()) * float64(time.Millisecond))):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// want makes one request, and repeats it as clients do. It reports whether it
+// was served.
+func (c *clients) want(ctx context.Context, k *Class, path string, rng *rand.Rand) bool {
+	key := ""
+	if k.Write {
+		key = fmt.Sprintf("k%d", c.seq.Add(1))
+	}
+	for try := 0; ; try++ {
+		r := c.d.routerFor(c.zone, rng)
+		ans := c.ask(r, k, path, key, try, rng)
+		if ans.whole && ans.status < 400 {
+			return true
+		}
+		if try >= c.d.s.Day.Retries || ctx.Err() != nil {
+			return false
+		}
+		// a write is repeated where that is surely harmless: as the router says by
+		// 503, within its window where a group drops repeats, or where nobody took it
+		if k.Write && ans.status != 503 && ans.err != "unreached" && !(k.Effect == "guarded" && k.Group == "all") {
+			return false
+		}
+		wait := c.d.s.Day.RetryWait * (0.5 + rng.Float64())
+		wait = max(wait, ans.after)
+		select {
+		case <-time.After(time.Duration(wait * float64(time.Millisecond))):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+type answer struct {
+	status int
+	whole  bool
+	err    string
+	after  float64
+}
+
+// conn is a connection to a router.
+type conn struct {
+	net.Conn
+	br   *bufio.Reader
+	used float64
+}
+
+// routerAt is a router as clients know it.
+type routerAt struct {
+	name, zone string
+	mu         sync.Mutex
+	addr       string
+	idle       []*conn
+}
+
+// moved tells clients where the router is now; empty: it is down.
+func (r *routerAt) moved(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addr = addr
+	for _, c := range r.idle {
+		c.Close()
+	}
+	r.idle = nil
+}
+
+func (r *routerAt) get() (*conn, error) {
+	r.mu.Lock()
+	if r.addr == "" {
+		r.mu.Unlock()
+		return nil, errors.New("day: the router is down")
+	}
+	for len(r.idle) > 0 {
+		c := r.idle[len(r.idle)-1]
+		r.idle = r.idle[:len(r.idle)-1]
+		if tap.Now()-c.used < 5000 { // well before the router's own limit
+			r.mu.Unlock()
+			return c, nil
+		}
+		c.Close()
+	}
+	addr := r.addr
+	r.mu.Unlock()
+	n, err := net.DialTimeout("tcp", addr, 500*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: n, br: bufio.NewReaderSize(n, 8<<10)}, nil
+}
+
+func (r *routerAt) put(c *conn) {
+	c.used = tap.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.idle) < 64 && c.RemoteAddr().String() == r.addr {
+		r.idle = append(r.idle, c)
+		return
+	}
+	c.Close()
+}
+
+// ask makes one try of a request, and records what its client sees.
+func (c *clients) ask(r *routerAt, k *Class, path, key string, try int, rng *rand.Rand) (ans answer) {
+	id := "c" + strconv.FormatInt(c.seq.Add(1), 10)
+	w := c.d.tap
+	patience := k.Deadline * (c.d.s.Day.Patience + (1-c.d.s.Day.Patience)*rng.Float64())
+	start := tap.Now()
+	rec := tap.Record{ID: id, Who: r.name, Class: k.Name, Key: key, Write: k.Write, Retry: try, Limit: start + patience}
+	end := func(err string, bytes int64) {
+		e := rec
+		e.Ev, e.Err, e.Bytes = tap.End, err, bytes
+		w.Add(e)
+		ans.err = err
+	}
+	ask := rec
+	ask.Ev, ask.T, ask.Object = tap.Ask, start, path
+	cn, err := r.get()
+	if err != nil {
+		w.Add(ask)
+		end("unreached", 0)
+		return ans
+	}
+	keep := false
+	defer func() {
+		if keep {
+			r.put(cn)
+		} else {
+			cn.Close()
+		}
+	}()
+	leave := rng.Float64() < c.d.s.Day.Leave
+	limit := patience + c.d.s.Limits.AnswerSlack + 4*c.d.s.Day.Spread
+	if leave {
+		limit = patience * rng.Float64() * 0.5
+	}
+	cn.SetDeadline(time.Now().Add(time.Duration(limit * float64(time.Millisecond))))
+	var b strings.Builder
+	method, body := "GET", ""
+	if k.Write {
+		method, body = "POST", strings.Repeat("x", 200)
+	}
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: day\r\nX-Request-Id: %s\r\nSpool-Deadline: %.3f\r\n", method, path, id, patience)
+	if !k.Write {
+		fmt.Fprintf(&b, "Spool-KB: %.3f\r\n", float64(standin.SizeOf(path, k.KB))/1024)
+	}
+	if try > 0 {
+		b.WriteString("Spool-Retry: 1\r\n")
+	}
+	if key != "" {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", key)
+	}
+	if body != "" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	b.WriteString("\r\n" + body)
+	w.Add(ask)
+	if _, err := io.WriteString(cn, b.String()); err != nil {
+		end("unreached", 0) // the connection was gone: the router never had it whole
+		return ans
+	}
+	fail := func(err error, n int64) {
+		var ne net.Error
+		switch {
+		case leave && errors.As(err, &ne) && ne.Timeout():
+			cn.Close()
+			end("gone", n)
+		case errors.As(err, &ne) && ne.Timeout():
+			end("late", n)
+		default:
+			end("closed", n)
+		}
+	}
+	res, err := http.ReadResponse(cn.br, &http.Request{Method: method})
+	if err != nil {
+		fail(err, 0)
+		return ans
+	}
+	head := rec
+	head.Ev, head.Status, head.Note = tap.Head, res.StatusCode, res.Header.Get(fillwire.StatusField)
+	head.Hit = strings.HasSuffix(head.Note, ";hit") || strings.Contains(head.Note, ";hit;")
+	ver, verr := fillwire.ParseVersion(res.Header.Get(fillwire.CopyField))
+	if verr == nil {
+		head.Ver = ver.V
+	}
+	ans.status = res.StatusCode
+	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil {
+		ans.after = float64(s) * 1000
+	}
+	w.Add(head)
+	if !leave { // the answer has begun: only a stall ends it
+		limit = 30_000
+	}
+	buf := make([]byte, 32<<10)
+	var n int64
+	for {
+		if !leave {
+			cn.SetReadDeadline(time.Now().Add(time.Duration(limit * float64(time.Millisecond))))
+		}
+		m, err := res.Body.Read(buf)
+		if m > 0 && head.Status == 200 && !k.Write && verr == nil {
+			if at, ok := standin.Matches(buf[:m], path, ver.V, n); !ok {
+				end(fmt.Sprintf("byte %d is not of version %d", at, ver.V), n)
+				return ans
+			}
+		}
+		n += int64(m)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			fail(err, n)
+			return ans
+		}
+	}
+	ans.whole = true
+	end("", n)
+	if cn.br.Buffered() > 0 { // nothing was asked: this answers nothing
+		extra := rec
+		extra.Ev, extra.Note = tap.Head, "bytes after the answer"
+		w.Add(extra)
+		return ans
+	}
+	keep = !res.Close
+	return ans
+}
--- /dev/null
+++ b/internal/day/proc.go
@@ -0,0 +1,180 @@
+package day
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"time"
+
+	"indigospool/internal/config"
+	"indigospool/internal/edge"
+	"indigospool/internal/standin"
+	"indigospool/internal/tap"
+)
+
+// A day's machines are processes: the program itself, called again with one of
+// these words and what the machine is on standard input. So a killed machine is
+// killed, and routers share nothing.
+const (
+	ChildStand  = "machine-stand"
+	ChildRouter = "machine-router"
+)
+
+// Child runs a machine of a day if the arguments say so. It is called first by
+// each program that plays days, and returns false where it is not meant.
+func Child(args []string) (is bool, err error) {
+	if len(args) < 2 {
+		return false, nil
+	}
+	switch args[1] {
+	case ChildStand:
+		return true, childStand()
+	case ChildRouter:
+		return true, childRouter()
+	}
+	return false, nil
+}
+
+// untilOrphaned returns when the day's end of the pipe is closed: a machine
+// does not outlive its day.
+func untilOrphaned(r io.Reader) { io.Copy(io.Discard, r) }
+
+func childStand() error {
+	in := bufio.NewReader(os.Stdin)
+	line, err := in.ReadBytes('\n')
+	if err != nil {
+		return err
+	}
+	var c standin.Config
+	if err := json.Unmarshal(line, &c); err != nil {
+		return err
+	}
+	s, err := standin.Start(c, tap.NewWriter(os.Stdout))
+	if err != nil {
+		return err
+	}
+	defer s.Kill()
+	untilOrphaned(in)
+	return nil
+}
+
+func childRouter() error {
+	in := bufio.NewReader(os.Stdin)
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return err
+	}
+	var text string
+	if err := json.Unmarshal([]byte(line), &text); err != nil {
+		return err
+	}
+	var s config.Settings
+	if err := config.Read("day", text, &s); err != nil {
+		return err
+	}
+	log, err := edge.NewAccessLog(&s)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	e, err := edge.New(&s, log)
+	if err != nil {
+		return err
+	}
+	go func() { untilOrphaned(in); e.Stop() }()
+	go func() {
+		if err := e.Ready(); err == nil {
+			fmt.Printf("%s\n", e.Addr())
+		}
+	}()
+	return e.Run()
+}
+
+// process is one machine.
+type process struct {
+	cmd   *exec.Cmd
+	in    io.WriteCloser
+	done  chan struct{}
+	first chan string // its first line of output
+	once  sync.Once
+}
+
+// start runs a machine; each line that it prints after the first goes to each.
+func start(self []string, word string, stdin []byte, stderr io.Writer, each func(line []byte)) (*process, error) {
+	cmd := exec.Command(self[0], append(append([]string{}, self[1:]...), word)...)
+	cmd.Stderr = stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("day: start %s: %w", word, err)
+	}
+	p := &process{cmd: cmd, in: in, done: make(chan struct{}), first: make(chan string, 1)}
+	go func() {
+		defer close(p.done)
+		br := bufio.NewReaderSize(out, 1<<16)
+		told := false
+		for {
+			line, err := br.ReadBytes('\n')
+			if err == nil {
+				if !told {
+					told = true
+					p.first <- strings.TrimSpace(string(line))
+				}
+				if each != nil {
+					each(line)
+				}
+				continue
+			}
+			cmd.Wait()
+			return
+		}
+	}()
+	if _, err := in.Write(append(stdin, '\n')); err != nil {
+		p.kill()
+		return nil, err
+	}
+	return p, nil
+}
+
+// awaitFirst is the first line that the machine prints.
+func (p *process) awaitFirst(ctx context.Context) (string, error) {
+	select {
+	case line := <-p.first:
+		return line, nil
+	case <-p.done:
+		select {
+		case line := <-p.first:
+			return line, nil
+		default:
+		}
+		return "", errors.New("day: a machine ended before it was up; its errors are above")
+	case <-time.After(20 * time.Second):
+		p.kill()
+		return "", errors.New("day: a machine was not up after 20 s")
+	case <-ctx.Done():
+		p.kill()
+		return "", ctx.Err()
+	}
+}
+
+// kill ends the machine by SIGKILL and waits for what it had written.
+func (p *process) kill() {
+	p.once.Do(func() {
+		p.cmd.Process.Kill()
+		p.in.Close()
+	})
+	<-p.done
+}
--- /dev/null
+++ b/internal/day/script.go
@@ -0,0 +1,267 @@
+// Package day plays scripted days: a fleet of stand-ins, separate router
+// processes before them, clients with open-loop arrivals, and troubles in time.
+// What passed on the sockets goes to a tap; the five rules are judged from it
+// (internal/rules). A day decides nothing of a router's.
+package day
+
+import (
+	"fmt"
+	"strings"
+
+	"indigospool/internal/config"
+	"indigospool/internal/rules"
+	"indigospool/internal/standin"
+)
+
+// Script is a day. Spans are in ms, sizes in KB, rates in KB a ms or requests
+// a second.
+type Script struct {
+	Day      Form             `edn:"day,required"`
+	Stand    standin.Stand    `edn:"stand"`
+	List     standin.ListForm `edn:"list"`
+	Rules    config.Rules     `edn:"rules"`
+	Limits   config.Limits    `edn:"limits"`
+	Fill     config.Fill      `edn:"fill"`
+	Zones    []Zone           `edn:"zone"`
+	Parents  Parents          `edn:"parents"`
+	Origin   Origin           `edn:"origin"`
+	Classes  []Class          `edn:"class"`
+	Troubles []Trouble        `edn:"trouble"`
+}
+
+// Form is the day as a whole.
+type Form struct {
+	Place      config.Place
+	Name       string  `edn:"@,required"`
+	Length     float64 `edn:"length" def:"60000" min:"500"`
+	Settle     float64 `edn:"settle" def:"2000" min:"0"` // before clients begin, and after the last
+	Seed       int     `edn:"seed" def:"1"`
+	Routers    int     `edn:"routers" def:"2" min:"1"`  // over all zones that have boxes, in turn
+	Rate       float64 `edn:"rate" def:"100" min:"0.1"` // requests a second of all clients, retries apart
+	Retries    int     `edn:"retries" def:"2" min:"0"`
+	RetryWait  float64 `edn:"retry-wait" def:"250" min:"0"`
+	Patience   float64 `edn:"patience" def:"0.7" min:"0.05" max:"1"` // least part of a class's deadline that a try waits
+	Leave      float64 `edn:"leave" def:"0.01" min:"0" max:"1"`      // share of clients that leave before their time is out
+	Purges     float64 `edn:"purges" def:"0.5" min:"0"`              // objects a second
+	Groups     int     `edn:"groups" def:"32" min:"1"`
+	Spread     float64 `edn:"spread" def:"60" min:"0"`        // see rules.Figures
+	StaleStart float64 `edn:"stale-start" def:"3000" min:"0"` // a router that starts anew gets the list of so long ago
+}
+
+// Zone is a location with boxes.
+type Zone struct {
+	Place config.Place
+	Name  string  `edn:"@,required"`
+	Hub   string  `edn:"hub" def:"hub"`
+	Boxes int     `edn:"boxes" def:"3" min:"1"`
+	Link  float64 `edn:"link" min:"0"` // of all fills into the zone; 0: no limit
+	Share float64 `edn:"share" def:"1" min:"0"`
+	MB    float64 `edn:"mb" def:"48" min:"0.1"` // a box
+	Cap   float64 `edn:"capacity" def:"10" min:"0.1"`
+	Fills int     `edn:"fills" def:"24" min:"0"`
+}
+
+// Parents are the caches at the hubs.
+type Parents struct {
+	Count   int     `edn:"count" def:"2" min:"0"`
+	Cap     float64 `edn:"capacity" def:"20" min:"0.1"`
+	MB      float64 `edn:"mb" def:"128" min:"0.1"`
+	Latency float64 `edn:"latency" def:"8" min:"0"`
+}
+
+// Origin is where everything comes from.
+type Origin struct {
+	Cap     float64 `edn:"capacity" def:"40" min:"0.1"`
+	Latency float64 `edn:"latency" def:"30" min:"0"`
+	Limit   int     `edn:"limit" min:"0"`
+}
+
+// Class is a class of requests, and how clients make them.
+type Class struct {
+	Place    config.Place
+	Name     string  `edn:"@,required"`
+	Share    float64 `edn:"share" def:"1" min:"0"` // of the requests
+	KB       float64 `edn:"kb" def:"60" min:"0.1"`
+	Aim      float64 `edn:"aim" def:"400" min:"1"`
+	Stretch  float64 `edn:"aim-stretch" def:"2" min:"0"`
+	Deadline float64 `edn:"deadline" def:"3000" min:"1"`
+	Worth    float64 `edn:"worth" def:"1" min:"0"`
+	Late     float64 `edn:"late-worth" def:"0.2" min:"0" max:"1"`
+	Objects  int     `edn:"objects" def:"300" min:"1"`
+	Zipf     float64 `edn:"zipf" def:"1.1" min:"1.001"`
+	Parts    int     `edn:"parts" min:"0"`                  // mean parts of an object; 0: it has none
+	Stay     float64 `edn:"stay" def:"0.9" min:"0" max:"1"` // chance that a client goes on to the next part
+	Gap      float64 `edn:"gap" def:"400" min:"0"`          // from part to part
+	Fresh    float64 `edn:"fresh" min:"0"`
+	Grace    float64 `edn:"grace" min:"0"`
+	Write    bool    `edn:"write"`
+	Effect   string  `edn:"effect" def:"free" oneof:"free guarded single-shot"`
+	Group    string  `edn:"group" def:"all" oneof:"nowhere cell zone all"`
+	Window   float64 `edn:"window" def:"2000" min:"0"`
+}
+
+// Trouble is something that goes wrong for a while.
+type Trouble struct {
+	Place   config.Place
+	Kind    string  `edn:"@,required"`
+	At      float64 `edn:"at,required" min:"0"`
+	For     float64 `edn:"for" def:"3000" min:"0"`
+	Boxes   int     `edn:"boxes" min:"0"` // how many of each it meets
+	Parents int     `edn:"parents" min:"0"`
+	Routers int     `edn:"routers" min:"0"`
+	Origin  bool    `edn:"origin"`
+	Zone    string  `edn:"zone"`                     // only there; of zone-loss: the zone that is lost
+	Share   float64 `edn:"share" min:"0" max:"1"`    // of attempts, of groups (flush) or of requests (hot-key, scan)
+	Factor  float64 `edn:"factor" def:"4" min:"1"`   // of slow and ageing
+	Every   float64 `edn:"every" def:"1000" min:"1"` // of pauses
+	Length  float64 `edn:"length" def:"200" min:"1"`
+	Notice  float64 `edn:"notice" def:"1500" min:"0"` // of preempt: from the drain to the end
+}
+
+// Troubles that the day itself carries out; the others are faults of stand-ins.
+const (
+	Crash      = "crash"       // processes are killed, and come back cold
+	Drain      = "drain"       // boxes drain, and serve again
+	Preempt    = "preempt"     // boxes drain, end, and are replaced by cold ones
+	ZoneLoss   = "zone-loss"   // all boxes of a zone, or the parents, at once
+	RouterKill = "router-kill" // routers are killed, and start with an old list
+	Flush      = "flush"       // a share of the groups is purged at once
+	HotKey     = "hot-key"     // a share of the requests is for one new object
+	Scan       = "scan"        // a share of the requests is for objects wanted once
+	OriginSlow = "origin-slow"
+	ListCut    = "list-cut"  // the list's streams are cut in a line
+	ListBack   = "list-back" // and come back with an older version
+	ListDown   = "list-down"
+)
+
+var ownKinds = []string{Crash, Drain, Preempt, ZoneLoss, RouterKill, Flush, HotKey, Scan, OriginSlow, ListCut, ListBack, ListDown}
+
+// Check tells what contradicts itself.
+func (s *Script) Check(f *config.Faults) {
+	add := func(p config.Pos, key, what, remedy string) {
+		*f = append(*f, config.Fault{Pos: p, Key: key, What: what, Remedy: remedy})
+	}
+	zones := map[string]Zone{}
+	boxes := 0
+	for _, z := range s.Zones {
+		if _, twice := zones[z.Name]; twice || z.Name == z.Hub {
+			add(z.Place.Pos, "zone", fmt.Sprintf("zone %q is named twice, or is its own hub", z.Name), "give it another name")
+		}
+		zones[z.Name] = z
+		boxes += z.Boxes
+	}
+	if len(s.Zones) == 0 {
+		add(s.Day.Place.Pos, "zone", "no zone is given", "add (zone name (boxes n))")
+	}
+	if len(s.Classes) == 0 {
+		add(s.Day.Place.Pos, "class", "no class is given", "add (class name (share x) (kb n))")
+	}
+	names := map[string]bool{}
+	for _, c := range s.Classes {
+		if names[c.Name] || strings.ContainsAny(c.Name, "/ ?#%") {
+			add(c.Place.Pos, "class", fmt.Sprintf("class %q is named twice, or can't stand in a path", c.Name), "give it another name")
+		}
+		names[c.Name] = true
+		if c.Aim > c.Deadline {
+			add(c.Place.Of("aim"), "class/aim", fmt.Sprintf("aim %v is past the deadline %v", c.Aim, c.Deadline), "lower it")
+		}
+	}
+	for _, t := range s.Troubles {
+		if !contains(ownKinds, t.Kind) && !contains(standin.Kinds, t.Kind) {
+			add(t.Place.Pos, "trouble", fmt.Sprintf("unknown trouble %q", t.Kind),
+				"known are "+strings.Join(append(append([]string{}, ownKinds...), standin.Kinds...), ", "))
+			continue
+		}
+		if t.At >= s.Day.Length {
+			add(t.Place.Of("at"), "trouble/at", fmt.Sprintf("%v is past the day's length %v", t.At, s.Day.Length), "lower it")
+		}
+		if _, ok := zones[t.Zone]; t.Zone != "" && !ok {
+			add(t.Place.Of("zone"), "trouble/zone", fmt.Sprintf("%q is no zone", t.Zone), "name one that is given")
+		}
+		if t.Boxes > boxes || t.Parents > s.Parents.Count || t.Routers > s.Day.Routers {
+			add(t.Place.Pos, "trouble", "it meets more machines than there are", "lower their number")
+		}
+		if contains(standin.Kinds, t.Kind) || contains([]string{Crash, Drain, Preempt}, t.Kind) {
+			if t.Boxes+t.Parents == 0 && !t.Origin {
+				add(t.Place.Pos, "trouble", t.Kind+" meets nobody", "add (boxes n), (parents n) or (origin)")
+			}
+		}
+		if t.Kind == RouterKill && t.Routers == 0 {
+			add(t.Place.Pos, "trouble", "router-kill meets nobody", "add (routers n)")
+		}
+		if contains([]string{Flush, HotKey, Scan}, t.Kind) && t.Share == 0 {
+			add(t.Place.Pos, "trouble", t.Kind+" has no share", "add (share x), from 0 to 1")
+		}
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, one := range list {
+		if one == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Figures are what the rules are judged by.
+func (s *Script) Figures() rules.Figures {
+	f := rules.Figures{AnswerSlack: s.Limits.AnswerSlack, DrainGrace: s.Rules.DrainGrace, ColdFrom: s.Rules.ColdFrom,
+		ColdTime: s.Rules.ColdTime, FallFactor: s.Rules.FallFactor, FallTime: s.Rules.FallTime,
+		ParentColdFrom: s.Rules.ParentColdFrom, ParentColdTime: s.Rules.ParentColdTime, ParentFall: s.Rules.ParentFall,
+		PurgeSlack: s.Rules.PurgeSlack, SecondCopies: s.Limits.SecondCopies, Spread: s.Day.Spread,
+		Classes: map[string]rules.Class{}}
+	for _, c := range s.Classes {
+		f.Classes[c.Name] = rules.Class{Effect: c.Effect, Group: c.Group, Window: c.Window}
+	}
+	return f
+}
+
+// Settings are the settings of one of the day's routers.
+func (s *Script) Settings(name, zone string, me int, list string) *config.Settings {
+	c := &config.Settings{Limits: s.Limits, Rules: s.Rules, Fill: s.Fill}
+	c.Fill.FlowKB = s.Stand.Flow
+	c.Router = config.Router{Name: name, Me: me, Of: s.Day.Routers, Zone: zone, Listen: "127.0.0.1:0", List: list,
+		Log: "stderr", Level: "info", Seed: s.Day.Seed*1000 + me, DeadlineHeader: "Spool-Deadline", SizeHeader: "Spool-KB",
+		RetryHeader: "Spool-Retry"}
+	routers := s.routersByZone()
+	hubs := map[string]bool{}
+	for _, z := range s.Zones {
+		c.Zones = append(c.Zones, config.Zone{Name: z.Name, Hub: z.Hub, Routers: routers[z.Name], LinkIn: z.Link})
+		if !hubs[z.Hub] {
+			hubs[z.Hub] = true
+			c.Zones = append(c.Zones, config.Zone{Name: z.Hub, Hub: z.Hub})
+		}
+	}
+	for _, k := range s.Classes {
+		cl := config.Class{Name: k.Name, Aim: k.Aim, AimStretch: k.Stretch, Deadline: k.Deadline, Worth: k.Worth,
+			LateWorth: k.Late, Effect: k.Effect, Group: k.Group, Parts: k.Parts > 0, Write: k.Write, Fresh: k.Fresh, Grace: k.Grace}
+		if k.Effect == "guarded" {
+			cl.Window = k.Window
+		}
+		c.Classes = append(c.Classes, cl)
+		c.Routes = append(c.Routes, config.Route{Pattern: pattern(&k), Class: k.Name})
+	}
+	return c
+}
+
+func pattern(k *Class) string {
+	if k.Parts > 0 {
+		return "/" + k.Name + "/{group}/{object}/{part}"
+	}
+	return "/" + k.Name + "/{group}/{object}"
+}
+
+func (s *Script) routersByZone() map[string]int {
+	out := map[string]int{}
+	for i := range s.Day.Routers {
+		out[s.Zones[i%len(s.Zones)].Name]++
+	}
+	return out
+}
+
+// Read reads a day script.
+func Read(file string) (*Script, error) {
+	s := &Script{}
+	return s, config.ReadFile(file, s)
+}
--- /dev/null
+++ b/internal/day/summary.go
@@ -0,0 +1,193 @@
+package day
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"indigospool/internal/tap"
+)
+
+// ClassSummary is what became of the requests of a class, as clients saw it.
+type ClassSummary struct {
+	Class     string  `json:"class"`
+	Requests  int     `json:"requests"` // tries
+	Served    int     `json:"served"`   // whole, within the aim
+	Late      int     `json:"late"`     // whole, past the aim
+	Refused   int     `json:"refused"`  // 503
+	Failed    int     `json:"failed"`   // other 4xx and 5xx
+	Broken    int     `json:"broken"`   // begun, and not whole
+	Gone      int     `json:"gone"`     // the client left
+	Unreached int     `json:"unreached"`
+	Unasked   int     `json:"unanswered"`
+	Hits      int     `json:"hits"` // of the nearest cache
+	Retries   int     `json:"retries"`
+	Attempts  int     `json:"attempts"`
+	MB        float64 `json:"mb"`
+	P50       float64 `json:"p50_ms"`
+	P99       float64 `json:"p99_ms"`
+	P999      float64 `json:"p999_ms"`
+}
+
+// Cost is what the requests fared while a trouble lasted, and 2 s after it.
+type Cost struct {
+	Trouble  string  `json:"trouble"`
+	Requests int     `json:"requests"`
+	InTime   float64 `json:"in_time"` // share
+	Outside  float64 `json:"outside"` // the same where no trouble was
+}
+
+// Summary is a day in figures.
+type Summary struct {
+	Classes  []ClassSummary `json:"classes"`
+	LinkMB   float64        `json:"link_mb"`   // fills into boxes
+	ParentMB float64        `json:"parent_mb"` // given by parents
+	OriginMB float64        `json:"origin_mb"`
+	Attempts int            `json:"attempts"`
+	Told     int            `json:"told"` // rows and purges told to routers
+	Costs    []Cost         `json:"costs"`
+}
+
+// Summarize counts a tap.
+func Summarize(s *Script, recs []tap.Record) Summary {
+	var out Summary
+	classes := map[string]*ClassSummary{}
+	hist := map[string]*hdrhistogram.Histogram{}
+	aims := map[string]Class{}
+	for _, k := range s.Classes {
+		classes[k.Name] = &ClassSummary{Class: k.Name}
+		hist[k.Name] = hdrhistogram.New(1, 600_000_000, 3)
+		aims[k.Name] = k
+	}
+	type try struct {
+		ask    *tap.Record
+		head   *tap.Record
+		inTime bool
+	}
+	tries := map[string]*try{}
+	type span struct {
+		name     string
+		from, to float64
+	}
+	var spans []span
+	for i := range recs {
+		r := &recs[i]
+		c := classes[r.Class]
+		switch r.Ev {
+		case tap.Ask:
+			tries[r.ID] = &try{ask: r}
+			if c != nil {
+				if c.Requests++; r.Retry > 0 {
+					c.Retries++
+				}
+			}
+		case tap.Head:
+			if t := tries[r.ID]; t != nil && t.head == nil {
+				t.head = r
+			}
+		case tap.End:
+			t := tries[r.ID]
+			if t == nil || c == nil {
+				continue
+			}
+			c.MB += float64(r.Bytes) / (1 << 20)
+			switch took := r.T - t.ask.T; {
+			case r.Err == "gone":
+				c.Gone++
+			case r.Err == "unreached":
+				c.Unreached++
+			case t.head == nil:
+				c.Unasked++
+			case r.Err != "":
+				c.Broken++
+			case t.head.Status == 503:
+				c.Refused++
+			case t.head.Status >= 400:
+				c.Failed++
+			default:
+				if t.head.Hit {
+					c.Hits++
+				}
+				k := aims[r.Class]
+				if t.inTime = took <= k.Aim+k.Stretch*float64(r.Bytes)/1024/s.Stand.Flow; t.inTime {
+					c.Served++
+				} else {
+					c.Late++
+				}
+				hist[r.Class].RecordValue(int64(took * 1000))
+			}
+		case tap.Recv:
+			if r.Via == "" {
+				out.Attempts++
+				if c != nil {
+					c.Attempts++
+				}
+			}
+		case tap.Done:
+			mb := float64(r.Bytes) / (1 << 20)
+			switch {
+			case r.Role == "origin":
+				out.OriginMB += mb
+			case r.Role == "parent":
+				out.ParentMB += mb
+			}
+			if r.Via != "" && !strings.HasPrefix(r.Via, "parent-") {
+				out.LinkMB += mb
+			}
+		case tap.Told:
+			out.Told++
+		case tap.Fault:
+			if name, ok := strings.CutPrefix(r.Note, "begin "); ok {
+				spans = append(spans, span{name, r.T, r.T + r.Limit + 2000})
+			}
+		}
+	}
+	for _, k := range s.Classes {
+		c, h := classes[k.Name], hist[k.Name]
+		c.P50, c.P99, c.P999 = float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, float64(h.ValueAtQuantile(99.9))/1000
+		out.Classes = append(out.Classes, *c)
+	}
+	share := func(in func(t float64) bool) (n int, good float64) {
+		for _, t := range tries {
+			if in(t.ask.T) {
+				if n++; t.inTime {
+					good++
+				}
+			}
+		}
+		return n, good / float64(max(n, 1))
+	}
+	_, outside := share(func(t float64) bool {
+		for _, sp := range spans {
+			if t >= sp.from && t <= sp.to {
+				return false
+			}
+		}
+		return true
+	})
+	sort.SliceStable(spans, func(i, j int) bool { return spans[i].from < spans[j].from })
+	for _, sp := range spans {
+		n, in := share(func(t float64) bool { return t >= sp.from && t <= sp.to })
+		out.Costs = append(out.Costs, Cost{sp.name, n, in, outside})
+	}
+	return out
+}
+
+// String is the summary as text.
+func (s Summary) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-14s %8s %8s %6s %8s %7s %7s %6s %8s %7s %7s %9s %9s %9s\n", "class", "requests", "served", "late", "refused",
+		"failed", "broken", "gone", "no-conn", "hits", "retries", "p50 ms", "p99 ms", "p99.9 ms")
+	for _, c := range s.Classes {
+		fmt.Fprintf(&b, "%-14s %8d %8d %6d %8d %7d %7d %6d %8d %7d %7d %9.1f %9.1f %9.1f\n", c.Class, c.Requests, c.Served, c.Late,
+			c.Refused, c.Failed, c.Broken, c.Gone, c.Unreached+c.Unasked, c.Hits, c.Retries, c.P50, c.P99, c.P999)
+	}
+	fmt.Fprintf(&b, "attempts %d; MB into zones %.1f, from parents %.1f, from the origin %.1f\n", s.Attempts, s.LinkMB, s.ParentMB, s.OriginMB)
+	for _, c := range s.Costs {
+		fmt.Fprintf(&b, "%-24s %6d requests in it and 2 s after, %5.1f %% in time (%5.1f %% where no trouble was)\n", c.Trouble, c.Requests,
+			100*c.InTime, 100*c.Outside)
+	}
+	return b.String()
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"sort"
+	"strings"
 
 	"indigospool/internal/tap"
 )
@@ -160,6 +161,22 @@
 	return false
 }
 
+// dead reports whether a router was down at a time: killed, and not started since.
+func (c *checker) dead(router string, t float64) bool {
+	last := math.Inf(-1)
+	for _, k := range c.kills[router] {
+		if k <= t {
+			last = max(last, k)
+		}
+	}
+	for _, up := range c.lives[router] {
+		if up >= last && up <= t {
+			return false
+		}
+	}
+	return !math.IsInf(last, -1)
+}
+
 // answers checks rule 1: for each request that a running router took, one
 // final answer before the client's time ran out, and nothing sent after it. A
 // router that was killed is forgiven what it held, and nothing else.
@@ -189,7 +206,7 @@
 				}
 			}
 		}
-		if why == "unreached" { // no connection: the router never took it
+		if why == "unreached" || c.dead(ask.Who, ask.T) { // no connection: no running router took it
 			continue
 		}
 		if c.killed(ask.Who, ask.T-c.f.Spread, max(min(ask.Limit, ended), ask.T)+c.f.AnswerSlack+c.f.Spread) {
@@ -229,12 +246,22 @@
 	}
 	byReq := map[string][]attempt{}
 	zone := map[string]string{}
+	atMember := map[string][]string{} // requests with attempts there, in this life of it
 	for i := range c.recs {
 		switch r := &c.recs[i]; r.Ev {
 		case tap.Up:
 			if r.Role != "router" {
 				zone[r.Who] = r.Note
 			}
+		case tap.Kill: // ends what the member had in hand
+			for _, req := range atMember[r.Who] {
+				for k := range byReq[req] {
+					if a := &byReq[req][k]; c.recs[a.i].Who == r.Who {
+						a.to = min(a.to, r.T)
+					}
+				}
+			}
+			delete(atMember, r.Who)
 		case tap.Ran:
 			c.out[2].Checks++
 			if r.Note != "dropped" && r.Key != "" && c.f.Classes[r.Class].Effect != "free" {
@@ -244,6 +271,7 @@
 			}
 		case tap.Recv:
 			if r.Via == "" && r.Req != "" {
+				atMember[r.Who] = append(atMember[r.Who], r.Req)
 				byReq[r.Req] = append(byReq[r.Req], attempt{i: i, from: r.T, to: math.Inf(1), n: r.N})
 			}
 		case tap.Sent, tap.Left:
@@ -455,6 +483,8 @@
 					delete(told, k)
 				}
 			}
+		case r.Ev == tap.End && strings.HasPrefix(r.Err, "byte "):
+			c.fail(5, i, "request %s: %s: copies were spliced", r.ID, r.Err)
 		case r.Ev == tap.Purge && r.Object != "":
 			objects[r.Object] = append(objects[r.Object], r.T)
 		case r.Ev == tap.Purge:
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -120,6 +120,8 @@
 		{"cold parent pushed over by fills", 4, append([]tap.Record{parent, parentTold}, burst("p", 2, 3300, 20, 2000, "b1")...), nil, "p (start 2"},
 		{"old copy after an object's purge", 5, []tap.Record{recv(1450, "b1", "q8", 0), {T: 1451, Ev: tap.Sent, Who: "b1", Start: 1, Req: "q8",
 			From: "r1", Object: "/a", Status: 200, Ver: 1}}, nil, "answered /a from version 1"},
+		{"two versions in one answer", 5, []tap.Record{{T: 121, Ev: tap.End, ID: "c2", Who: "r1", Err: "byte 7 is not of version 1"}},
+			nil, "copies were spliced"},
 		{"old copy after a group's purge", 5, []tap.Record{{T: 5000, Ev: tap.Purge, Who: "o", Group: 9},
 			{T: 5100, Ev: tap.Told, Who: "r1", Note: "purge", Group: 9, Born: 5000}, recv(5500, "b1", "q8", 0),
 			{T: 5501, Ev: tap.Sent, Who: "b1", Start: 1, Req: "q8", From: "r1", Object: "/g", Group: 9, Status: 200, Ver: 1}}, nil,
@@ -153,6 +155,12 @@
 	}{
 		{"killed with a request in hand", []tap.Record{{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000},
 			{T: 5500, Ev: tap.Kill, Who: "r1", Role: "router"}, {T: 5500, Ev: tap.End, ID: "c7", Err: "closed"}}},
+		{"asked while its router was down", []tap.Record{{T: 4900, Ev: tap.Kill, Who: "r1", Role: "router"},
+			{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000}, {T: 5005, Ev: tap.End, ID: "c7", Err: "closed"}}},
+		{"a killed member's attempt made anew elsewhere", []tap.Record{
+			{T: 5000, Ev: tap.Recv, Who: "b1", Start: 1, Req: "q8", N: 0, From: "r1", Class: "still"},
+			{T: 5010, Ev: tap.Kill, Who: "b1", Role: "box", Start: 1},
+			{T: 5011, Ev: tap.Recv, Who: "b3", Start: 2, Req: "q8", N: 1, From: "r1", Class: "still"}}},
 		{"never reached", []tap.Record{{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000}, {T: 5001, Ev: tap.End, ID: "c7", Err: "unreached"}}},
 		{"within the drain's grace", []tap.Record{{T: 2400, Ev: tap.Recv, Who: "b2", Start: 1, Req: "q8", From: "r1", Class: "still"}}},
 		{"back in service", []tap.Record{{T: 5000, Ev: tap.Told, Who: "r1", Src: "b2", State: "serving", Start: 2},
@@ -167,6 +175,11 @@
 			t.Errorf("%s:\n%s", c.name, Details(vs))
 		}
 	}
+	back := append(good(), tap.Record{T: 4900, Ev: tap.Kill, Who: "r1", Role: "router"},
+		tap.Record{T: 4950, Ev: tap.Up, Who: "r1", Role: "router"}, tap.Record{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000})
+	if vs := Check(back, figures); len(vs[0].Breaks) != 1 {
+		t.Error("a router that is up again was forgiven what it lost")
+	}
 	late := append(good(), tap.Record{T: 5000, Ev: tap.Ask, ID: "c7", Who: "r1", Limit: 6000},
 		tap.Record{T: 7000, Ev: tap.Kill, Who: "r1", Role: "router"})
 	if vs := Check(late, figures); len(vs[0].Breaks) != 1 {
--- a/internal/standin/origin.go
+++ b/internal/standin/origin.go
@@ -76,8 +76,8 @@
 		rec.Note = "dropped"
 	}
 	s.tap.Add(rec)
-	rec.Ev, rec.Status, rec.Note = tap.Sent, http.StatusOK, ""
-	s.tap.Add(rec)
+	rec.Status, rec.Note = http.StatusOK, ""
+	v.sent(rec)
 	body := fmt.Sprintf("ran %s %s: %d bytes\n", v.r.Method, v.key, n)
 	v.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	io.WriteString(v.w, body)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"indigospool/internal/box"
@@ -228,19 +229,17 @@
 		v.reset()
 		return
 	}
-	answered := make(chan struct{})
 	stop := context.AfterFunc(r.Context(), func() {
-		select {
-		case <-answered:
-		default:
+		if !v.answered.Load() {
 			left := v.rec
 			left.Ev = tap.Left
 			s.tap.Add(left)
 		}
 	})
 	v.serve()
-	close(answered)
-	stop()
+	if r.Context().Err() == nil { // else it is left to the record that it was left
+		stop()
+	}
 }
 
 func (s *Server) control(w http.ResponseWriter, r *http.Request) {
@@ -311,9 +310,19 @@
 	key   string
 	class Class
 	rec   tap.Record
+
+	answered atomic.Bool
+}
+
+// sent records that the attempt is answered.
+func (v *visit) sent(rec tap.Record) {
+	v.answered.Store(true)
+	rec.Ev = tap.Sent
+	v.s.tap.Add(rec)
 }
 
 func (v *visit) reset() {
+	v.answered.Store(true)
 	if c, _, err := v.w.(http.Hijacker).Hijack(); err == nil {
 		reset(c)
 	}
@@ -375,8 +384,8 @@
 	v.w.Header().Set(fillwire.StatusField, h.String())
 	v.w.Header().Set(fillwire.LoadField, v.s.load())
 	rec := v.rec
-	rec.Ev, rec.Status, rec.Note = tap.Sent, status, h.Detail
-	v.s.tap.Add(rec)
+	rec.Status, rec.Note = status, h.Detail
+	v.sent(rec)
 	v.w.Header().Set("Content-Length", "0")
 	v.w.WriteHeader(status)
 }
@@ -449,8 +458,8 @@
 	head.Set("Content-Type", "application/octet-stream")
 	head.Set("Content-Length", strconv.FormatInt(size, 10))
 	rec := v.rec
-	rec.Ev, rec.Status, rec.Ver, rec.Born, rec.Bytes, rec.Hit = tap.Sent, 200, version, born, size, h.Hit
-	s.tap.Add(rec)
+	rec.Status, rec.Ver, rec.Born, rec.Bytes, rec.Hit = 200, version, born, size, h.Hit
+	v.sent(rec)
 	if v.r.Method == "HEAD" {
 		v.w.WriteHeader(http.StatusOK)
 		return
