--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,481 @@
+// Package bench measures the router as a proxy against what a user would pick,
+// and against the machine's limit, side by side in one run: Go's
+// httputil.ReverseProxy, a proxy on fasthttp, and a bare relay on epoll that
+// reads no HTTP at all. Each proxy is a process of its own, before one and the
+// same server of held objects; the figure is requests per CPU second of the
+// proxy's process, and what its clients waited.
+//
+// It measures on loopback only and is no part of CI: what the kernel does for
+// loopback counts in the proxy's time, as it does for all of them alike.
+package bench
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"indigospool/internal/config"
+	"indigospool/internal/edge"
+	"indigospool/internal/loop"
+	"indigospool/internal/standin"
+)
+
+// Proxies are what can be measured.
+var Proxies = []string{"spool", "reverseproxy", "fasthttp", "relay"}
+
+// Child runs one proxy, or the server behind them, until standard input ends.
+// Its address is the first line that it prints.
+func Child(name, backend string) error {
+	// the proxy under test is bounded to the CPUs that the caller set
+	switch name {
+	case "server":
+		return serveHeld()
+	case "spool":
+		return serveSpool(backend)
+	case "reverseproxy":
+		return serveReverse(backend)
+	case "fasthttp":
+		return serveFast(backend)
+	case "relay":
+		return serveRelay(backend)
+	}
+	return fmt.Errorf("bench: unknown proxy %q; known are %v", name, Proxies)
+}
+
+func untilOrphaned() { io.Copy(io.Discard, os.Stdin) }
+
+// serveHeld answers /s/0/KB with so many KB, as a cache that holds them, by fasthttp.
+func serveHeld() error {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	var bodies sync.Map
+	fmt.Println(ln.Addr())
+	go fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
+		path := string(ctx.Path())
+		kb, err := strconv.Atoi(path[strings.LastIndexByte(path, '/')+1:])
+		if err != nil || kb < 1 || kb > 4096 {
+			ctx.SetStatusCode(404)
+			return
+		}
+		b, ok := bodies.Load(kb)
+		if !ok {
+			made := make([]byte, kb<<10)
+			standin.Content(made, path, 1, 0)
+			b, _ = bodies.LoadOrStore(kb, made)
+		}
+		ctx.Response.Header.Set("Cache-Status", `"b"; hit`)
+		ctx.SetContentType("application/octet-stream")
+		ctx.Response.SetBodyRaw(b.([]byte))
+	})
+	untilOrphaned()
+	return nil
+}
+
+func serveSpool(backend string) error {
+	text := fmt.Sprintf(`(router (zone z) (listen "127.0.0.1:0") (log none))
+		(limits (upstream 4096)) (fill (flow 1000)) (class c (deadline 20000) (aim 20000)) (route "/s/{group}/{object}" (class c))
+		(member b (zone z) (address %q))`, backend)
+	var s config.Settings
+	if err := config.Read("bench", text, &s); err != nil {
+		return err
+	}
+	log, err := edge.NewAccessLog(&s)
+	if err != nil {
+		return err
+	}
+	e, err := edge.New(&s, log)
+	if err != nil {
+		return err
+	}
+	go func() { untilOrphaned(); e.Stop() }()
+	fmt.Println(e.Addr())
+	return e.Run()
+}
+
+func serveReverse(backend string) error {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: backend})
+	p.Transport = &http.Transport{MaxIdleConnsPerHost: 4096, MaxIdleConns: 4096, DisableCompression: true}
+	fmt.Println(ln.Addr())
+	go http.Serve(ln, p)
+	untilOrphaned()
+	return nil
+}
+
+func serveFast(backend string) error {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	c := &fasthttp.HostClient{Addr: backend, MaxConns: 8192}
+	fmt.Println(ln.Addr())
+	go fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
+		ctx.Request.Header.Del("Connection")
+		if err := c.Do(&ctx.Request, &ctx.Response); err != nil {
+			ctx.Error(err.Error(), 502)
+			return
+		}
+		ctx.Response.Header.Del("Connection")
+	})
+	untilOrphaned()
+	return nil
+}
+
+// serveRelay copies bytes between a client and a connection of its own to the
+// server, on the same loop as the router: no parsing, no pools, no decisions.
+func serveRelay(backend string) error {
+	l, err := loop.New(0)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	to, err := net.ResolveTCPAddr("tcp4", backend)
+	if err != nil {
+		return err
+	}
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		return err
+	}
+	fd := int(f.Fd())
+	unix.SetNonblock(fd, true)
+	r := &relay{l: l, buf: make([]byte, 256<<10)}
+	copy(r.to.Addr[:], to.IP.To4())
+	r.to.Port = to.Port
+	l.Add(fd, loop.Read, handler(func(loop.Ready) {
+		for {
+			c, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err != nil {
+				return
+			}
+			r.pair(c)
+		}
+	}))
+	go func() { untilOrphaned(); l.Stop() }()
+	fmt.Println(ln.Addr())
+	return l.Run()
+}
+
+type handler func(loop.Ready)
+
+func (h handler) OnReady(r loop.Ready) { h(r) }
+
+type relay struct {
+	l   *loop.Loop
+	to  unix.SockaddrInet4
+	buf []byte
+}
+
+// side is one end of a pair: what is read here goes out at the other.
+type side struct {
+	r     *relay
+	fd    int
+	other *side
+	wait  []byte // read from the other, not yet written here
+}
+
+func (r *relay) pair(c int) {
+	u, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		unix.Close(c)
+		return
+	}
+	if err := unix.Connect(u, &r.to); err != nil { // on loopback at once
+		unix.Close(c)
+		unix.Close(u)
+		return
+	}
+	unix.SetNonblock(u, true)
+	a, b := &side{r: r, fd: c}, &side{r: r, fd: u}
+	a.other, b.other = b, a
+	for _, s := range []*side{a, b} {
+		unix.SetsockoptInt(s.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		r.l.Add(s.fd, loop.Read, s)
+	}
+}
+
+func (s *side) close() {
+	for _, x := range []*side{s, s.other} {
+		if x.fd >= 0 {
+			s.r.l.Remove(x.fd)
+			unix.Close(x.fd)
+			x.fd = -1
+		}
+	}
+}
+
+func (s *side) OnReady(r loop.Ready) {
+	if r.Writable() && len(s.wait) > 0 {
+		n, err := unix.Write(s.fd, s.wait)
+		if err != nil && err != unix.EAGAIN {
+			s.close()
+			return
+		}
+		if s.wait = s.wait[max(n, 0):]; len(s.wait) == 0 {
+			s.r.l.Want(s.fd, loop.Read)
+			s.r.l.Want(s.other.fd, loop.Read)
+		}
+	}
+	if !r.Readable() || len(s.other.wait) > 0 {
+		return
+	}
+	n, err := unix.Read(s.fd, s.r.buf)
+	if err == unix.EAGAIN {
+		return
+	}
+	if err != nil || n == 0 {
+		s.close()
+		return
+	}
+	m, err := unix.Write(s.other.fd, s.r.buf[:n])
+	if err != nil && err != unix.EAGAIN {
+		s.close()
+		return
+	}
+	if m = max(m, 0); m < n {
+		s.other.wait = append([]byte(nil), s.r.buf[m:n]...)
+		s.r.l.Want(s.other.fd, loop.Read|loop.Write)
+		s.r.l.Want(s.fd, 0)
+	}
+}
+
+// Result is one measurement.
+type Result struct {
+	Proxy     string  `json:"proxy"`
+	KB        int     `json:"kb"`
+	Conns     int     `json:"conns"`
+	Requests  int64   `json:"requests"`
+	PerSecond float64 `json:"per_second"`
+	PerCPU    float64 `json:"per_cpu_second"` // of the proxy's process
+	P50us     int64   `json:"p50_us"`
+	P99us     int64   `json:"p99_us"`
+	RSSKB     int64   `json:"rss_kb"`
+	Failed    int64   `json:"failed"`
+}
+
+// Machine is a running child.
+type Machine struct {
+	Addr string
+	cmd  *exec.Cmd
+	in   io.Closer
+}
+
+// StartChild runs a proxy or the server as a process.
+func StartChild(ctx context.Context, self []string, name, backend string) (*Machine, error) {
+	cmd := exec.CommandContext(ctx, self[0], append(append([]string{}, self[1:]...), name, backend)...)
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		cmd.Process.Kill()
+		cmd.Wait()
+		return nil, fmt.Errorf("bench: %s did not start: %w", name, err)
+	}
+	return &Machine{Addr: strings.TrimSpace(line), cmd: cmd, in: in}, nil
+}
+
+// Stop ends it.
+func (m *Machine) Stop() {
+	m.in.Close()
+	done := make(chan struct{})
+	go func() { m.cmd.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(3 * time.Second):
+		m.cmd.Process.Kill()
+		<-done
+	}
+}
+
+// cpu is the CPU time, and the resident memory in KB, of the child.
+func (m *Machine) cpu() (time.Duration, int64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.cmd.Process.Pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	f := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+2:]))
+	if len(f) < 22 {
+		return 0, 0, errors.New("bench: /proc/pid/stat is too short")
+	}
+	user, _ := strconv.ParseInt(f[11], 10, 64)
+	system, _ := strconv.ParseInt(f[12], 10, 64)
+	pages, _ := strconv.ParseInt(f[21], 10, 64)
+	const tick = 10 * time.Millisecond // USER_HZ is 100 on Linux
+	return time.Duration(user+system) * tick, pages * int64(os.Getpagesize()) / 1024, nil
+}
+
+// Load makes requests for an object of so many KB over so many connections,
+// each of which asks again as soon as it has its answer.
+func Load(ctx context.Context, m *Machine, proxy string, kb, conns int, span time.Duration) (Result, error) {
+	r := Result{Proxy: proxy, KB: kb, Conns: conns}
+	req := []byte(fmt.Sprintf("GET /s/0/%d HTTP/1.1\r\nHost: bench\r\nUser-Agent: spool-bench\r\nAccept: */*\r\n\r\n", kb))
+	var stop atomic.Bool
+	var count, failed atomic.Int64
+	hist := hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	ready := make(chan error, conns)
+	begin := make(chan struct{})
+	for range conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c, err := net.Dial("tcp4", m.Addr)
+			ready <- err
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			<-begin
+			own := hdrhistogram.New(1, 60_000_000, 3)
+			br := bufio.NewReaderSize(c, 16<<10)
+			for !stop.Load() {
+				at := time.Now()
+				c.SetDeadline(at.Add(30 * time.Second))
+				if _, err := c.Write(req); err != nil {
+					failed.Add(1)
+					break
+				}
+				if err := readAnswer(br, int64(kb)<<10); err != nil {
+					failed.Add(1)
+					break
+				}
+				own.RecordValue(time.Since(at).Microseconds())
+				count.Add(1)
+			}
+			mu.Lock()
+			hist.Merge(own)
+			mu.Unlock()
+		}()
+	}
+	var errs []error
+	for range conns {
+		if err := <-ready; err != nil {
+			errs = append(errs, err)
+		}
+	}
+	close(begin)
+	if len(errs) > 0 {
+		stop.Store(true)
+		wg.Wait()
+		return r, errors.Join(errs[0], fmt.Errorf("bench: %d of %d connections failed", len(errs), conns))
+	}
+	time.Sleep(span / 5) // to warm up
+	hist.Reset()
+	n0 := count.Load()
+	cpu0, _, err := m.cpu()
+	if err != nil {
+		return r, err
+	}
+	at := time.Now()
+	select {
+	case <-time.After(span):
+	case <-ctx.Done():
+	}
+	r.Requests = count.Load() - n0
+	cpu1, rss, err := m.cpu()
+	took := time.Since(at).Seconds()
+	stop.Store(true)
+	wg.Wait()
+	if err != nil {
+		return r, err
+	}
+	r.PerSecond = float64(r.Requests) / took
+	r.PerCPU = float64(r.Requests) / max((cpu1-cpu0).Seconds(), 0.01)
+	r.RSSKB, r.Failed = rss, failed.Load()
+	r.P50us, r.P99us = hist.ValueAtQuantile(50), hist.ValueAtQuantile(99)
+	return r, nil
+}
+
+// readAnswer reads one 200 of a known size; it does as little as it can, since
+// the load must not be what limits.
+func readAnswer(br *bufio.Reader, size int64) error {
+	first := true
+	for {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if first && !strings.HasPrefix(string(line[:min(len(line), 12)]), "HTTP/1.1 200") {
+			return fmt.Errorf("bench: answered %q", line)
+		}
+		first = false
+		if len(line) <= 2 {
+			break
+		}
+	}
+	_, err := br.Discard(int(size))
+	return err
+}
+
+// Idle opens so many connections that ask once and then nothing, and returns
+// the resident KB before and after.
+func Idle(m *Machine, conns int) (before, after int64, err error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < uint64(conns)+100 {
+		limit.Cur = min(limit.Max, uint64(conns)+1000)
+		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
+	}
+	if _, before, err = m.cpu(); err != nil {
+		return 0, 0, err
+	}
+	list := make([]net.Conn, 0, conns)
+	defer func() {
+		for _, c := range list {
+			c.Close()
+		}
+	}()
+	for range conns {
+		c, err := net.Dial("tcp4", m.Addr)
+		if err != nil {
+			return before, 0, fmt.Errorf("bench: connection %d: %w", len(list), err)
+		}
+		list = append(list, c)
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		if _, err := c.Write([]byte("GET /s/0/1 HTTP/1.1\r\nHost: bench\r\n\r\n")); err != nil {
+			return before, 0, err
+		}
+		if err := readAnswer(bufio.NewReader(c), 1024); err != nil {
+			return before, 0, err
+		}
+	}
+	time.Sleep(time.Second)
+	_, after, err = m.cpu()
+	return before, after, err
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -154,3 +154,58 @@
 	}
 	t.Fatal("no attempt was made")
 }
+
+// A clock that steps, in either direction, gives each request its one final
+// answer all the same: the module's time only goes forward.
+func TestClockSteps(t *testing.T) {
+	c := load(t)
+	timers := map[int64]float64{}
+	finals := map[string]int{}
+	carry := func(acts []spool.Action, now float64) {
+		for _, a := range acts {
+			switch a := a.(type) {
+			case spool.Wake:
+				timers[a.Token] = now + a.In
+			case spool.Refuse:
+				finals[a.ID]++
+			case spool.Fail:
+				finals[a.ID]++
+			}
+		}
+	}
+	now := 1000.0
+	for _, ev := range c.Apply(now, FromSettings(c.Settings)).Events {
+		carry(c.Handle(now, ev, nil), now)
+	}
+	ids := 0
+	for _, step := range []float64{0, -900, 50, 3_600_000, -3_600_000, 20, 5000, 5000, 5000} {
+		now += step
+		ids++
+		q, err := c.Classify("r"+string(rune('0'+ids)), now, head(t, c, "GET /s/7/a.jpg HTTP/1.1\r\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		carry(c.Handle(now, q, nil), now)
+		for token, due := range timers {
+			if due <= now {
+				delete(timers, token)
+				carry(c.Handle(now, spool.Timer{Token: token}, nil), now)
+			}
+		}
+	}
+	for turn := 0; len(finals) < ids && turn < 1000; turn++ {
+		for token, due := range timers {
+			now = max(now, due)
+			delete(timers, token)
+			carry(c.Handle(now, spool.Timer{Token: token}, nil), now)
+		}
+	}
+	if len(finals) != ids {
+		t.Fatalf("%d of %d requests have a final answer: %v", len(finals), ids, finals)
+	}
+	for id, n := range finals {
+		if n != 1 {
+			t.Errorf("%s has %d final answers", id, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/day/day_test.go
@@ -0,0 +1,150 @@
+package day
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"indigospool/internal/config"
+	"indigospool/internal/rules"
+	"indigospool/internal/tap"
+)
+
+// The test binary is also the machines of its days.
+func TestMain(m *testing.M) {
+	if is, err := Child(os.Args); is {
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const short = `
+(day short (length 3500) (settle 500) (routers 2) (rate 80) (seed 3) (purges 2) (stale-start 500))
+(stand (flow 8) (fill-wait 1000))
+(list (lag-from 50) (lag-to 200) (purge-from 20) (purge-to 100))
+(rules (cold-time 3000) (fall-time 1000) (parent-cold-time 3000) (purge-takes 2000))
+(limits (connect 200))
+(fill (direct) (joins))
+(zone z (boxes 3) (capacity 20))
+(parents (count 2) (capacity 40) (latency 2)) (origin (capacity 80) (latency 5))
+(class still (share 0.6) (kb 20) (objects 60) (deadline 2000))
+(class film (share 0.3) (kb 60) (parts 5) (objects 20) (deadline 3000) (gap 100))
+(class order (share 0.1) (kb 1) (write) (effect guarded) (deadline 2000))
+%s
+`
+
+func read(t *testing.T, troubles string) *Script {
+	s := &Script{}
+	if err := config.Read("short.edn", fmt.Sprintf(short, troubles), s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func play(t *testing.T, troubles string) *Result {
+	if testing.Short() {
+		t.Skip("plays a day")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
+	defer cancel()
+	res, err := Run(ctx, read(t, troubles), Options{Self: []string{os.Args[0]}, Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !rules.AllOK(res.Verdicts) {
+		t.Errorf("%s%s", rules.Summary(res.Verdicts), rules.Details(res.Verdicts))
+	}
+	return res
+}
+
+// Crash, drain, purge, and a router's kill on one short day: every rule is
+// looked at and kept, and most requests are served.
+func TestShortBadDay(t *testing.T) {
+	res := play(t, `(trouble crash (at 500) (for 800) (boxes 1)) (trouble drain (at 900) (for 1000) (boxes 1))
+		(trouble flush (at 1200) (share 0.5)) (trouble router-kill (at 1500) (for 300) (routers 1))
+		(trouble answer-lost (at 1800) (for 600) (boxes 1) (share 0.5))`)
+	all, served := 0, 0
+	for _, c := range res.Summary.Classes {
+		all, served = all+c.Requests, served+c.Served+c.Late
+	}
+	if all < 100 || served < all/2 {
+		t.Errorf("%d of %d requests served\n%s", served, all, res.Summary)
+	}
+}
+
+// All routers are killed at once and start anew before parents that have just
+// come back cold.
+func TestAllRoutersRestartAtOnce(t *testing.T) {
+	res := play(t, `(trouble zone-loss (at 600) (for 500)) (trouble zone-loss (at 600) (for 500) (zone z))
+		(trouble router-kill (at 700) (for 300) (routers 2))`)
+	cold := map[string]bool{}
+	for _, r := range res.Records {
+		if r.Ev == tap.Up && r.Cold {
+			cold[r.Role] = true
+		}
+	}
+	if !cold["parent"] || !cold["box"] {
+		t.Errorf("cold starts: %v, want boxes and parents", cold)
+	}
+}
+
+func TestScriptFaults(t *testing.T) {
+	for _, c := range []struct{ add, want string }{
+		{"(trouble crsh (at 1) (boxes 1))", `unknown trouble "crsh"`},
+		{"(trouble crash (at 1))", "crash meets nobody"},
+		{"(trouble crash (at 1) (boxes 9))", "more machines than there are"},
+		{"(trouble crash (at 9999) (boxes 1))", "past the day's length"},
+		{"(trouble flush (at 1))", "flush has no share"},
+		{"(trouble zone-loss (at 1) (zone q))", `"q" is no zone`},
+		{"(class still)", `class "still" is named twice`},
+	} {
+		err := config.Read("short.edn", fmt.Sprintf(short, c.add), &Script{})
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q in it", c.add, err, c.want)
+		}
+	}
+}
+
+const benchDay = `{"site":"a site","kind":"trouble","length":40000000,"zones":["north","south","hub"],
+ "clients":{"retries":2,"try_share":0.6,"backoff_us":200000},"discovery":{"notice":3000000},
+ "allow":{"second_copies":true,"max_attempts":6},"drain_grace":500000,"fall_multiple":4,"fall_for":3000000,
+ "classes":[{"name":"video-parts","share":6,"work":286000,"aim":400000,"aim_stretch":2,"deadline":6000000,"worth":2,"late_worth":0.1,"effect":"safe","group":"all","window":5000000},
+            {"name":"orders","share":1,"work":20000,"aim":400000,"deadline":3000000,"worth":1,"effect":"keyed","group":"all","window":2000000,"write":true}],
+ "tiers":[{"stated_cold_from":0.2,"stated_cold":18000000}],
+ "servers":[{"zone":0,"kind":0},{"zone":0,"kind":0},{"zone":0,"kind":0},{"zone":1,"kind":0},{"zone":1,"kind":0},{"zone":2,"kind":2},{"zone":2,"kind":3}],
+ "balancers":[{},{},{}],
+ "troubles":[{"kind":"vanish","at":5000000,"len":4000000,"on":[0,5]},{"kind":"flush","at":6000000,"len":1,"size":0.5,"on":[]},
+             {"kind":"balancer_crash","at":7000000,"len":3000000,"size":0.4,"on":[0]},{"kind":"earthquake","at":8000000,"len":1,"on":[]}],
+ "fam":{"direct":true,"joins":false,"siblings":"location","tells":"hit","groups":32,"purges":0.5,"purge_tell":200000,"purge_done":6000000,
+  "purge_grace":300000,"parent_cold":[0.06,22000000],"parent_fall":2,"parent_kind":2,"origin_kind":3,"origin_time":40000,"near":9000,
+  "stock":[{"objects":13,"parts":14,"zipf":1.03,"stay":0.92,"gap":700000},{"objects":100,"parts":1,"zipf":0.98,"gap":1}]}}`
+
+func TestImport(t *testing.T) {
+	text, notes, err := Import([]byte(benchDay), Scale{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Script{}
+	if err := config.Read("imported", text, s); err != nil {
+		t.Fatal(err)
+	}
+	if s.Day.Length != 40000 || len(s.Troubles) != 3 || s.Troubles[0].Boxes != 1 || s.Troubles[0].Parents != 1 ||
+		s.Troubles[2].Routers != 1 || s.Classes[1].Effect != "guarded" || !s.Classes[1].Write || s.Classes[0].Parts != 14 {
+		t.Errorf("imported as\n%s", text)
+	}
+	if all := strings.Join(notes, "\n"); !strings.Contains(all, "can't be played: earthquake") || !strings.Contains(all, "scaled: ") {
+		t.Errorf("notes:\n%s", all)
+	}
+	for _, bad := range []string{"", "[]", "{}", `{"classes":[{"name":"a"}]}`} {
+		if _, _, err := Import([]byte(bad), Scale{}); err == nil {
+			t.Errorf("%q was imported", bad)
+		}
+	}
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"indigospool/internal/config"
 	"indigospool/internal/core"
 	"indigospool/internal/standin"
@@ -503,3 +505,118 @@
 		t.Errorf("members: %d %s", code, text)
 	}
 }
+
+// A purge that comes while a fill is under way: who asked before may have the
+// old copy, nobody who asks after the grace, and the box does not keep it.
+func TestPurgeDuringFill(t *testing.T) {
+	r := newRig(t, 1, "")
+	const path = "/s/5/slow"
+	r.origin.Fault(standin.Fault{Kind: standin.Pauses, For: 400, Every: 1000, Length: 400})
+	first := make(chan string, 1)
+	go func() {
+		res, _, err := r.get(path)
+		if err != nil {
+			first <- err.Error()
+			return
+		}
+		first <- res.Header.Get("Spool-Copy")
+	}()
+	r.waitFor("the fill", func(s *Stats, _ *core.Core) bool { return s.Held == 1 })
+	made := r.origin.Purge(path, 5, 0)
+	r.list.Purge(path, 5, made)
+	for _, b := range r.boxes {
+		b.Purge(path, 5, made)
+	}
+	if v := <-first; !strings.HasPrefix(v, "v=") {
+		t.Errorf("the request under way got %q", v)
+	}
+	time.Sleep(300 * time.Millisecond)
+	for range 3 {
+		res, body, err := r.get(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := standin.Matches(body, path, 2, 0); !ok {
+			t.Errorf("after the purge: %s", res.Header.Get("Spool-Copy"))
+		}
+	}
+}
+
+// Connections that ask once and then nothing hold no buffer; requests are
+// served beside them, and all of them are closed after their time.
+func TestTenThousandIdle(t *testing.T) {
+	n := 10_000
+	var limit unix.Rlimit
+	unix.Getrlimit(unix.RLIMIT_NOFILE, &limit)
+	if most := int(limit.Cur)/2 - 200; most < n {
+		n = most
+		t.Logf("only %d connections: no more descriptors may be open", n)
+	}
+	r := newRig(t, 1, "(client-idle 6000)")
+	r.get("/s/1/a")
+	to, _ := net.ResolveTCPAddr("tcp4", r.e.Addr())
+	sa := &unix.SockaddrInet4{Port: to.Port, Addr: [4]byte(to.IP.To4())}
+	for i := range n {
+		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { unix.Close(fd) })
+		if err := unix.Connect(fd, sa); err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+	}
+	r.waitFor("the connections", func(s *Stats, _ *core.Core) bool { return s.Connections >= uint64(n) })
+	for i := range 20 {
+		if res, _, err := r.get(fmt.Sprintf("/s/1/x%d", i)); err != nil || res.StatusCode != 200 {
+			t.Fatal(res, err)
+		}
+	}
+	held := 0
+	r.e.Query(func(*Stats, *core.Core) {
+		for c := range r.e.clients {
+			held += cap(c.left) + cap(c.out.buf)
+		}
+	})
+	if held > 64<<10 {
+		t.Errorf("idle connections hold %d bytes of buffers", held)
+	}
+	for range 40 { // they idle for 6 s
+		time.Sleep(500 * time.Millisecond)
+		left := uint64(1)
+		r.e.Query(func(s *Stats, _ *core.Core) { left = s.Connections })
+		if left == 0 {
+			return
+		}
+	}
+	t.Error("idle connections were never closed")
+}
+
+// Attempts that wait for a connection when their member drains are decided
+// anew: they do not reach it later.
+func TestDrainWhileConnecting(t *testing.T) {
+	r := newRig(t, 2, "(upstream 1)")
+	for _, b := range r.boxes {
+		b.Fault(standin.Fault{Kind: standin.Hang, For: 800})
+	}
+	var wg sync.WaitGroup
+	for i := range 12 { // one connection a box: the rest wait for it
+		wg.Go(func() { r.get(fmt.Sprintf("/s/1/w%d", i)) })
+	}
+	r.waitFor("attempts that wait", func(*Stats, *core.Core) bool {
+		p := r.e.pools[r.boxes["b0"].Addr()]
+		return p != nil && len(p.wait) > 0
+	})
+	r.set("b0", "box", "z", "draining", r.boxes["b0"].Addr())
+	r.waitFor("the drain", func(_ *Stats, c *core.Core) bool { m, _ := c.Member("b0"); return m.State != 0 })
+	told := tap.Now()
+	r.e.Query(func(*Stats, *core.Core) {
+		if p := r.e.pools[r.boxes["b0"].Addr()]; p != nil && len(p.wait) > 0 {
+			t.Errorf("%d attempts still wait for a box that drains", len(p.wait))
+		}
+	})
+	wg.Wait()
+	if n := r.count(func(x tap.Record) bool { return x.Ev == tap.Recv && x.Who == "b0" && x.T > told+50 }); n > 0 {
+		t.Errorf("%d attempts reached the box after it was told to drain", n)
+	}
+}
