--- a/cmd/spool-router/main.go
+++ b/cmd/spool-router/main.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		return err
 	}
+	cli.Steady()
 	log, err := edge.NewAccessLog(s)
 	if err != nil {
 		return err
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -46,6 +46,15 @@
 	return v
 }
 
+// Steady has the garbage collector run less often than Go's default, for
+// programs whose heap is small and whose loop should not share its time; GOGC
+// in the environment goes before it.
+func Steady() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(400)
+	}
+}
+
 // Main runs a program's root command and ends the process. The context ends at
 // SIGINT or SIGTERM.
 func Main(root *cobra.Command) {
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -42,7 +42,7 @@
 
 func (c *client) read(r loop.Ready) {
 	buf := c.e.scratch[:readSize]
-	n, err := unix.Read(c.fd, buf)
+	n, err := loop.ReadFD(c.fd, buf)
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
 		if r.Hangup() {
@@ -145,7 +145,8 @@
 	e := c.e
 	h := &e.head
 	e.stats.Requests++
-	r := &request{e: e, c: c, at: e.l.Now(), isHead: h.IsHead(), minor: h.Minor}
+	r := e.newRequest(c)
+	r.at, r.isHead, r.minor = e.l.Now(), h.IsHead(), h.Minor
 	c.cur = r
 	c.last = c.last || h.Close || e.draining
 	q, err := e.core.Classify("", r.at, h)
@@ -201,7 +202,8 @@
 	c.e.stats.Malformed++
 	r := c.cur
 	if r == nil {
-		r = &request{e: c.e, c: c, at: c.e.l.Now(), minor: 1}
+		r = c.e.newRequest(c)
+		r.at, r.minor = c.e.l.Now(), 1
 		c.cur = r
 	}
 	r.why, r.path = endMalformed, f.What
@@ -213,8 +215,7 @@
 // answer gives a final answer of the router's own.
 func (c *client) answer(r *request, status int, after float64) {
 	r.status = status
-	b := c.out.grow()
-	b = http1.AppendStatus(b, status)
+	b := http1.AppendStatus(c.e.hbuf[:0], status)
 	b = http1.AppendFieldString(b, "Via", "1.1 "+c.e.name)
 	if status == 405 {
 		b = http1.AppendFieldString(b, "Allow", "GET, HEAD")
@@ -231,7 +232,8 @@
 	if !r.isHead {
 		b = append(b, text...)
 	}
-	c.out.set(b)
+	c.e.hbuf = b
+	c.add(b)
 	r.sent += int64(len(text))
 	r.finish()
 }
@@ -253,7 +255,7 @@
 		return
 	}
 	if c.out.len() == 0 {
-		n, err := unix.Write(c.fd, b)
+		n, err := loop.WriteFD(c.fd, b)
 		if err == unix.EAGAIN || err == unix.EINTR {
 			n, err = 0, nil
 		}
@@ -267,14 +269,38 @@
 			return
 		}
 	}
-	c.out.add(b)
+	c.add(b)
 	c.wants()
 }
 
+// write2 writes what waits and b in one call, and keeps what the socket does not take.
+func (c *client) write2(b []byte) {
+	n, err := loop.WriteFD2(c.fd, c.out.bytes(), b)
+	if err == unix.EAGAIN || err == unix.EINTR {
+		n, err = 0, nil
+	}
+	if err != nil {
+		c.lost()
+		return
+	}
+	c.e.stats.OutBytes += uint64(n)
+	c.stalled = c.stalled && n == 0
+	if k := min(n, c.out.len()); k > 0 {
+		c.out.take(c.e, k)
+		n -= k
+	}
+	if b = b[n:]; len(b) > 0 {
+		c.add(b)
+		c.wants()
+	}
+}
+
+func (c *client) add(b []byte) { c.out.add(c.e, b) }
+
 // flush writes what waits. It reports whether all of it went out.
 func (c *client) flush() bool {
 	for c.out.len() > 0 && !c.gone {
-		n, err := unix.Write(c.fd, c.out.bytes())
+		n, err := loop.WriteFD(c.fd, c.out.bytes())
 		if err == unix.EAGAIN || err == unix.EINTR {
 			c.wants()
 			return false
@@ -285,7 +311,7 @@
 		}
 		c.e.stats.OutBytes += uint64(n)
 		c.stalled = false
-		c.out.take(n)
+		c.out.take(c.e, n)
 	}
 	if c.gone {
 		return false
@@ -417,11 +443,12 @@
 		return
 	}
 	c.gone = true
-	c.e.l.Disarm(&c.idle)
+	c.e.l.Forget(&c.idle)
 	c.e.l.Remove(c.fd)
 	unix.Close(c.fd)
 	delete(c.e.clients, c)
-	c.left, c.out = nil, outq{}
+	c.left = nil
+	c.out.drop(c.e)
 	if c.e.draining {
 		c.e.checkDrained()
 	}
@@ -466,6 +493,49 @@
 	sent   int64
 	why    endWord
 	path   string // of what no class fits
+
+	first [3]try // the memory of its first tries
+	freed bool
+}
+
+// newRequest is an empty request, in the memory of one that is over if there is any.
+func (e *Edge) newRequest(c *client) *request {
+	n := len(e.free)
+	if n == 0 {
+		r := &request{e: e, c: c}
+		r.tries = make([]*try, 0, len(r.first))
+		r.fwd = make([]byte, 0, 512)
+		for i := range r.first {
+			t := &r.first[i]
+			t.timer.F = t.timedOut
+		}
+		return r
+	}
+	r := e.free[n-1]
+	e.free[n-1] = nil
+	e.free = e.free[:n-1]
+	clear(r.tries)
+	for i := range r.first {
+		t := &r.first[i]
+		*t = try{timer: t.timer} // not armed, and keeps its function
+	}
+	*r = request{e: e, c: c, first: r.first, fwd: r.fwd[:0], content: r.content[:0], tries: r.tries[:0]}
+	return r
+}
+
+// newTry is the next attempt of the request.
+func (r *request) newTry() *try {
+	var t *try
+	if n := len(r.tries); n < len(r.first) {
+		t = &r.first[n]
+	} else {
+		t = &try{}
+		t.timer.F = t.timedOut
+	}
+	t.r, t.n = r, len(r.tries)
+	r.tries = append(r.tries, t)
+	r.open++
+	return t
 }
 
 // takeBody takes a write's body, which is held whole so that it can be sent again.
@@ -490,7 +560,7 @@
 // compose writes what of the head goes on to caches: all but what is for this
 // connection only, framing, and what the router says itself.
 func (r *request) compose(h *http1.Head) {
-	b := http1.AppendRequestLine(make([]byte, 0, 512), h.Method, h.Path())
+	b := http1.AppendRequestLine(r.fwd[:0], h.Method, h.Path())
 	if h.Host != nil {
 		b = http1.AppendField(b, "Host", h.Host)
 	} else {
@@ -552,17 +622,22 @@
 		r.why = endClientGone
 	}
 	r.e.stats.Gone++
-	known := r.known
-	started := r.phase == relaying
-	id := r.id
-	r.finish()
-	if !known {
+	e, id, w := r.e, r.id, r.winner
+	if !r.known {
+		r.finish()
 		return
 	}
-	r.e.tell(spool.Gone{ID: id})
-	if started && r.winner != nil && !r.winner.done {
-		r.winner.cut(spool.Cancelled)
+	if r.phase != relaying {
+		w = nil
 	}
+	r.phase = over // before the module hears of it: nothing may be answered any more
+	r.e.log.request(r)
+	r.c.cur = nil
+	e.tell(spool.Gone{ID: id})
+	if w != nil && w.r == r && !w.done && !r.freed {
+		w.cut(spool.Cancelled)
+	}
+	r.release()
 }
 
 // refuse is the module's final answer that a repeat is harmless.
@@ -605,41 +680,15 @@
 
 // release forgets a request that is over and has nothing out.
 func (r *request) release() {
-	if r.phase != over || r.open > 0 {
+	if r.phase != over || r.open > 0 || r.freed {
 		return
 	}
 	if r.known {
 		r.known = false
 		delete(r.e.reqs, r.id)
 	}
-}
-
-// outq is what waits to be written.
-type outq struct {
-	buf []byte
-	off int
-}
-
-func (q *outq) len() int      { return len(q.buf) - q.off }
-func (q *outq) bytes() []byte { return q.buf[q.off:] }
-
-func (q *outq) take(n int) {
-	if q.off += n; q.off == len(q.buf) {
-		if cap(q.buf) > 16<<10 {
-			q.buf = nil
-		}
-		q.buf, q.off = q.buf[:0], 0
-	}
-}
-
-func (q *outq) add(b []byte) {
-	if q.off > 0 && len(q.buf)+len(b) > cap(q.buf) {
-		n := copy(q.buf, q.buf[q.off:])
-		q.buf, q.off = q.buf[:n], 0
+	r.freed = true
+	if e := r.e; len(e.free) < 1024 && cap(r.content) <= 64<<10 {
+		e.free = append(e.free, r) // it is made empty when it is used again
 	}
-	q.buf = append(q.buf, b...)
 }
-
-// grow lends the buffer to be appended to; set gives it back.
-func (q *outq) grow() []byte { return q.buf }
-func (q *outq) set(b []byte) { q.buf = b }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,6 +57,9 @@
 	drainT    loop.Timer
 	acceptT   loop.Timer
 	freeWakes []*wake
+	free      []*request
+	lent      [len(lentSizes)][][]byte
+	hbuf      []byte     // a head that is being written
 	head      http1.Head // of the request that is being taken
 	stats     Stats
 	stopWatch func()
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -34,9 +34,8 @@
 	if r == nil {
 		return
 	}
-	t := &try{r: r, n: len(r.tries), cache: a.Cache, source: a.Source, send: *a, sentAt: e.l.Now()}
-	r.tries = append(r.tries, t)
-	r.open++
+	t := r.newTry()
+	t.cache, t.source, t.send, t.sentAt = a.Cache, a.Source, *a, e.l.Now()
 	e.stats.Attempts++
 	if r.phase != asked {
 		t.end(spool.Moot, spool.NoteNone, false)
@@ -47,7 +46,6 @@
 	if a.Timeout > 0 {
 		left = min(left, a.Timeout)
 	}
-	t.timer.F = t.timedOut
 	e.l.Arm(&t.timer, left)
 	t.p = e.pool(address, a.Cache)
 	t.p.start(t)
@@ -273,7 +271,7 @@
 	r := t.r
 	u.state = upHead
 	u.left = nil
-	b := append(u.out.grow(), r.fwd...)
+	b := append(u.e.hbuf[:0], r.fwd...)
 	a := fillwire.FromSend(&t.send, &r.q, t.n, u.e.name, u.e.core.Address(t.source), max(r.q.Deadline-u.e.l.Now(), 1))
 	b = append(b, fillwire.FillField+": "...)
 	b = a.Append(b)
@@ -285,15 +283,29 @@
 		b = http1.AppendFieldInt(b, "Content-Length", int64(len(r.content)))
 	}
 	b = append(b, "\r\n"...)
-	b = append(b, r.content...)
-	u.out.set(b)
+	u.e.hbuf = b
 	t.written = true
+	n, err := loop.WriteFD2(u.fd, b, r.content)
+	if err == unix.EAGAIN || err == unix.EINTR {
+		n, err = 0, nil
+	}
+	if err != nil {
+		u.broke(spool.Reset)
+		return
+	}
+	u.e.stats.OutBytes += uint64(n)
+	if n == len(b)+len(r.content) {
+		u.e.l.Want(u.fd, loop.Read)
+		return
+	}
+	u.out.add(u.e, b[min(n, len(b)):])
+	u.out.add(u.e, r.content[max(n-len(b), 0):])
 	u.flush()
 }
 
 func (u *upstream) flush() {
 	for u.out.len() > 0 {
-		n, err := unix.Write(u.fd, u.out.bytes())
+		n, err := loop.WriteFD(u.fd, u.out.bytes())
 		if err == unix.EAGAIN || err == unix.EINTR {
 			u.e.l.Want(u.fd, loop.Read|loop.Write)
 			return
@@ -303,7 +315,7 @@
 			return
 		}
 		u.e.stats.OutBytes += uint64(n)
-		u.out.take(n)
+		u.out.take(u.e, n)
 	}
 	u.e.l.Want(u.fd, loop.Read)
 }
@@ -375,7 +387,7 @@
 	if u.fd < 0 {
 		return
 	}
-	u.e.l.Disarm(&u.timer)
+	u.e.l.Forget(&u.timer)
 	u.e.l.Remove(u.fd)
 	unix.Close(u.fd)
 	u.fd = -1
@@ -387,7 +399,8 @@
 			break
 		}
 	}
-	u.left, u.out = nil, outq{}
+	u.left = nil
+	u.out.drop(u.e)
 	p.next()
 }
 
@@ -411,7 +424,7 @@
 func (u *upstream) read(r loop.Ready) {
 	buf := u.e.scratch
 	k := copy(buf, u.left)
-	n, err := unix.Read(u.fd, buf[k:])
+	n, err := loop.ReadFD(u.fd, buf[k:])
 	if err == unix.EAGAIN || err == unix.EINTR {
 		if r.Hangup() {
 			u.broke(spool.Reset)
@@ -549,7 +562,7 @@
 	r.status = u.head.Status
 	e.l.Disarm(&t.timer)
 	u.note = note
-	b := http1.AppendStatus(c.out.grow(), u.head.Status)
+	b := http1.AppendStatus(e.hbuf[:0], u.head.Status)
 	named := u.head.Has("connection")
 	for i := range u.head.Fields {
 		f := &u.head.Fields[i]
@@ -582,7 +595,8 @@
 		b = append(b, "Transfer-Encoding: chunked\r\n"...)
 	}
 	b = c.appendConnection(b, r)
-	c.out.set(append(b, "\r\n"...))
+	e.hbuf = append(b, "\r\n"...)
+	c.add(e.hbuf)
 	u.state = upBody
 	for _, other := range r.tries {
 		if other != t {
@@ -617,11 +631,12 @@
 		data = data[n:]
 		r.sent += int64(len(content))
 		if u.chunk {
-			c.out.set(http1.AppendChunk(c.out.grow(), content))
-		} else if len(content) > 4096 && c.out.len() == 0 {
-			c.write(content)
+			u.e.hbuf = http1.AppendChunk(u.e.hbuf[:0], content)
+			c.add(u.e.hbuf)
+		} else if len(content) > 2048 && c.out.len() <= 4096 {
+			c.write2(content)
 		} else {
-			c.out.add(content)
+			c.add(content)
 		}
 		if u.t == nil || c.gone { // the client has gone, and with it the attempt
 			return nil, false
@@ -654,13 +669,15 @@
 	u.e.l.Want(u.fd, loop.Read)
 }
 
+var lastChunk = []byte(http1.LastChunk)
+
 // finishBody has the whole answer. More bytes than it may have end the
 // connection: they belong to no request.
 func (u *upstream) finishBody(excess bool) {
 	t := u.t
 	r := t.r
 	if u.chunk {
-		r.c.out.set(append(r.c.out.grow(), http1.LastChunk...))
+		r.c.add(lastChunk)
 	}
 	r.why = endServed
 	r.e.stats.Served++
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -15,6 +15,7 @@
 	"runtime"
 	"sync"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -104,12 +105,16 @@
 	return l, nil
 }
 
-// Clock reads the monotonic clock in milliseconds.
-func Clock() Millis {
+// The system's monotonic clock where this process began to look, and the
+// runtime's reading of the same clock, which needs no call into the kernel.
+var clockBase, clockFrom = func() (Millis, time.Time) {
 	var ts unix.Timespec
 	unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts) // cannot fail with this clock
-	return float64(ts.Sec)*1e3 + float64(ts.Nsec)/1e6
-}
+	return float64(ts.Sec)*1e3 + float64(ts.Nsec)/1e6, time.Now()
+}()
+
+// Clock reads the monotonic clock in milliseconds.
+func Clock() Millis { return clockBase + float64(time.Since(clockFrom).Nanoseconds())/1e6 }
 
 // Now is the time at which the present turn began.
 func (l *Loop) Now() Millis { return l.now }
@@ -241,7 +246,7 @@
 	if len(l.timers.list) > 0 {
 		wait = max(int(l.timers.list[0].due-Clock()+0.999), 0)
 	}
-	n, err := unix.EpollWait(l.epfd, l.events, wait)
+	n, err := l.poll(wait)
 	if err != nil && err != unix.EINTR {
 		return fmt.Errorf("loop: epoll_wait: %w", err)
 	}
@@ -271,6 +276,20 @@
 	return nil
 }
 
+// poll takes what is ready without telling the runtime of a call that may
+// block; only when nothing is ready does it wait.
+func (l *Loop) poll(wait int) (int, error) {
+	n, _, errno := unix.RawSyscall6(unix.SYS_EPOLL_PWAIT, uintptr(l.epfd), uintptr(unsafe.Pointer(&l.events[0])),
+		uintptr(len(l.events)), 0, 0, 0)
+	if errno == 0 && n > 0 || wait == 0 {
+		if errno != 0 {
+			return 0, errno
+		}
+		return int(n), nil
+	}
+	return unix.EpollWait(l.epfd, l.events, wait)
+}
+
 func (l *Loop) runPosted() {
 	var count [8]byte
 	unix.Read(l.wakefd, count[:])
@@ -285,19 +304,33 @@
 
 // A Timer calls its function once when due. The zero value is idle; it can be
 // armed again after it was due or stopped. Set F before arming.
+//
+// Arming for later and disarming cost nothing: the timer keeps its place in the
+// heap, and is looked at again when that comes due. Most timers are limits that
+// are moved on all the time and seldom reached.
 type Timer struct {
 	F     func()
-	due   Millis
+	due   Millis // its place in the heap
+	want  Millis // when it is to be called; never before due
 	seq   uint64
-	index int // place in the heap, from 1; 0: not armed
+	index int // place in the heap, from 1; 0: it has none
+	on    bool
 }
 
 // Armed reports whether the timer waits to come due.
-func (t *Timer) Armed() bool { return t.index > 0 }
+func (t *Timer) Armed() bool { return t.on }
 
 // Arm has the timer come due after in; armed already, it is moved.
 func (l *Loop) Arm(t *Timer, in Millis) {
-	t.due = l.now + max(in, 0)
+	t.want = l.now + max(in, 0)
+	if !t.on {
+		t.on = true
+		l.timers.armed++
+	}
+	if t.index > 0 && t.due <= t.want {
+		return
+	}
+	t.due = t.want
 	l.timers.seq++
 	t.seq = l.timers.seq
 	if t.index > 0 {
@@ -307,8 +340,18 @@
 	l.timers.push(t)
 }
 
-// Disarm stops a timer; it does nothing to one that is not armed.
+// Disarm stops a timer; it does nothing to one that is not armed. The loop may
+// hold on to the timer until it would have come due; see Forget.
 func (l *Loop) Disarm(t *Timer) {
+	if t.on {
+		t.on = false
+		l.timers.armed--
+	}
+}
+
+// Forget disarms a timer that will not be used again.
+func (l *Loop) Forget(t *Timer) {
+	l.Disarm(t)
 	if t.index > 0 {
 		l.timers.remove(t.index - 1)
 	}
@@ -322,7 +365,7 @@
 }
 
 // Timers is how many timers are armed.
-func (l *Loop) Timers() int { return len(l.timers.list) }
+func (l *Loop) Timers() int { return l.timers.armed }
 
 // runTimers runs what is due at the time of the turn; what these arm waits for
 // the next turn, so that none can hold the loop.
@@ -333,15 +376,24 @@
 		if t.due > l.now || t.seq > last {
 			return
 		}
+		if t.on && t.want > l.now {
+			t.due = t.want
+			l.timers.down(0)
+			continue
+		}
 		l.timers.remove(0)
-		t.F()
+		if t.on {
+			l.Disarm(t)
+			t.F()
+		}
 	}
 }
 
 // heap is a four-way heap by due time, equal times in the order of arming.
 type heap struct {
-	list []*Timer
-	seq  uint64
+	list  []*Timer
+	seq   uint64
+	armed int
 }
 
 func (h *heap) less(a, b *Timer) bool { return a.due < b.due || a.due == b.due && a.seq < b.seq }
@@ -419,7 +471,7 @@
 		f()
 	}
 	l.Arm(t, span)
-	return func() { l.Disarm(t) }
+	return func() { l.Forget(t) }
 }
 
 // Call runs f on the loop's goroutine and waits for it at most within limit.
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -165,7 +165,11 @@
 				l.Arm(&timers[i], in)
 				want[i] = l.now + in
 			case 2:
-				l.Disarm(&timers[i])
+				if rapid.Bool().Draw(t, "for good") {
+					l.Forget(&timers[i])
+				} else {
+					l.Disarm(&timers[i])
+				}
 				delete(want, i)
 			case 3:
 				l.now += float64(rapid.IntRange(0, 20).Draw(t, "pass"))
--- a/router.go
+++ b/router.go
@@ -316,7 +316,7 @@
 	r.open[ev.ID] = q
 	r.order = append(r.order, q)
 	r.token++
-	r.timers[r.token] = q
+	r.timers[r.token], q.token = q, r.token
 	r.do(Wake{In: max(q.Deadline-r.now-2*r.s.Tick, 0), Token: r.token})
 	r.mean += (q.work - r.mean) * 0.02
 	r.retries = min(r.retries+retryShare, retryBurst)
@@ -894,5 +894,6 @@
 func (r *Router) drop(q *request) {
 	if q.over && !q.busy() {
 		delete(r.open, q.ID)
+		delete(r.timers, q.token) // else each is held for its client's whole patience
 	}
 }
--- a/state.go
+++ b/state.go
@@ -64,6 +64,7 @@
 	class                *class
 	hash                 uint64
 	arrived              Millis
+	token                int64  // of its deadline's timer
 	work                 Millis // own sending time, as told or as its class takes
 	tries                []attempt
 	over, parked, stream bool
