GETs may follow one another on a connection to a member, where settings allow

Need: a member whose connections are all in use makes attempts wait; pipelining on the upstream side was missing. Change: (limits (pipeline n)), off by default; writes and HEAD never follow; an answer that nobody wants any more is passed over; when a connection ends, those behind are decided anew. Result: test with one connection and depth 8: at least 7 follow, each gets its own object.

--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -55,6 +55,7 @@
 	Connect        float64 `edn:"connect" def:"500" min:"1"`          // to a member
 	BodyIdle       float64 `edn:"body-idle" def:"5000" min:"1"`       // a member that has begun to answer and sends nothing
 	Upstream       int     `edn:"upstream" def:"512" min:"1"`         // connections a member
+	Pipeline       int     `edn:"pipeline" def:"1" min:"1" max:"64"`  // GETs on one connection to a member, once all of its connections are in use
 	UpstreamIdle   float64 `edn:"upstream-idle" def:"15000" min:"1"`  // kept unused for
 	Drain          float64 `edn:"drain" def:"10000" min:"0"`          // to finish after SIGTERM
 	LogQueue       int     `edn:"log-queue" def:"8192" min:"16"`      // lines
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -620,3 +620,42 @@
 		t.Errorf("%d attempts reached the box after it was told to drain", n)
 	}
 }
+
+// GETs follow one another on one connection where that is allowed: each gets
+// its own object; one that is given up is passed over; writes never follow.
+func TestPipelinedToMember(t *testing.T) {
+	r := newRig(t, 1, "(upstream 1) (pipeline 8)")
+	for i := range 12 {
+		r.get(fmt.Sprintf("/s/1/p%d", i))
+	}
+	r.boxes["b0"].Fault(standin.Fault{Kind: standin.Pauses, For: 300, Every: 1000, Length: 300})
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() {
+			path := fmt.Sprintf("/s/1/p%d", i)
+			res, body, err := r.get(path)
+			if err != nil || res.StatusCode != 200 {
+				t.Errorf("%s: %v, %v", path, res, err)
+			} else if _, ok := standin.Matches(body, path, 1, 0); !ok {
+				t.Errorf("%s: another object's answer", path)
+			}
+		})
+	}
+	followed := 0
+	leaver := r.dial()
+	io.WriteString(leaver, "GET /s/1/p3 HTTP/1.1\r\nHost: h\r\n\r\n")
+	r.waitFor("attempts that follow others", func(*Stats, *core.Core) bool {
+		if p := r.e.pools[r.boxes["b0"].Addr()]; p != nil {
+			for u := range p.all {
+				followed = max(followed, len(u.line))
+			}
+		}
+		return followed >= 7
+	})
+	leaver.Close()
+	wg.Wait()
+	if res, _, err := r.get("/s/1/p1"); err != nil || !strings.Contains(res.Header.Get("Cache-Status"), "hit") {
+		t.Errorf("afterwards: %v, %v", res, err)
+	}
+	r.waitFor("the end of all", func(s *Stats, _ *core.Core) bool { return s.Held == 0 })
+}
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -86,7 +86,14 @@
 
 // abandon takes the attempt off its connection, which is closed, or out of the queue for one.
 func (t *try) abandon() {
-	if u := t.u; u != nil {
+	if u := t.u; u != nil && u.t != t { // behind others: its answer will be passed over
+		t.u = nil
+		for i := range u.line {
+			if u.line[i] == t {
+				u.line[i] = nil
+			}
+		}
+	} else if u != nil {
 		t.u, u.t = nil, nil
 		u.close()
 	} else if t.p != nil {
@@ -140,7 +147,11 @@
 		return
 	}
 	if len(p.all) >= p.e.s.Limits.Upstream {
-		p.wait = append(p.wait, t)
+		if u := p.shortest(t); u != nil {
+			u.follow(t)
+		} else {
+			p.wait = append(p.wait, t)
+		}
 		return
 	}
 	u, err := p.connect()
@@ -151,6 +162,22 @@
 	u.begin(t)
 }
 
+// shortest is the connection on which a GET can follow others soonest (RFC
+// 9112, section 9.3.2), nil where that is not allowed. Writes never follow.
+func (p *pool) shortest(t *try) (best *upstream) {
+	depth := p.e.s.Limits.Pipeline - 1
+	if depth < 1 || t.r.q.Write || t.r.isHead {
+		return nil
+	}
+	for u := range p.all {
+		if n := len(u.line); n < depth && (u.state == upHead || u.state == upBody) && u.out.len() == 0 && !u.held &&
+			(best == nil || n < len(best.line)) {
+			best = u
+		}
+	}
+	return best
+}
+
 func (p *pool) forget(t *try) {
 	for i, w := range p.wait {
 		if w == t {
@@ -195,6 +222,7 @@
 	fd     int
 	state  upState
 	t      *try
+	line   []*try // GETs that follow it; nil for one whose answer nobody wants any more
 	left   []byte // read, and not yet taken
 	out    outq
 	head   http1.Head
@@ -267,10 +295,21 @@
 }
 
 func (u *upstream) writeAttempt() {
-	t := u.t
-	r := t.r
 	u.state = upHead
 	u.left = nil
+	u.put(u.t)
+}
+
+// follow writes an attempt behind others whose answers are still to come.
+func (u *upstream) follow(t *try) {
+	t.u = u
+	u.line = append(u.line, t)
+	u.put(t)
+}
+
+// put writes an attempt.
+func (u *upstream) put(t *try) {
+	r := t.r
 	b := append(u.e.hbuf[:0], r.fwd...)
 	a := fillwire.FromSend(&t.send, &r.q, t.n, u.e.name, u.e.core.Address(t.source), max(r.q.Deadline-u.e.l.Now(), 1))
 	b = append(b, fillwire.FillField+": "...)
@@ -295,7 +334,9 @@
 	}
 	u.e.stats.OutBytes += uint64(n)
 	if n == len(b)+len(r.content) {
-		u.e.l.Want(u.fd, loop.Read)
+		if !u.held {
+			u.e.l.Want(u.fd, loop.Read)
+		}
 		return
 	}
 	u.out.add(u.e, b[min(n, len(b)):])
@@ -401,9 +442,34 @@
 	}
 	u.left = nil
 	u.out.drop(u.e)
+	line := u.line
+	u.line = nil
+	for _, t := range line {
+		if t != nil { // nothing was run for it that matters: only GETs follow
+			t.u = nil
+			t.end(spool.Moot, spool.NoteNone, false)
+		}
+	}
 	p.next()
 }
 
+// advance goes on to the answer that follows, or keeps the connection for
+// another attempt.
+func (u *upstream) advance() {
+	if len(u.line) == 0 {
+		u.toIdle()
+		return
+	}
+	u.e.l.Disarm(&u.timer)
+	u.t, u.state = u.line[0], upHead
+	if u.line = u.line[1:]; len(u.line) == 0 {
+		u.line = nil
+	}
+	if len(u.p.wait) > 0 {
+		u.p.next()
+	}
+}
+
 // toIdle keeps the connection for another attempt.
 func (u *upstream) toIdle() {
 	u.t, u.state, u.held = nil, upIdle, false
@@ -453,11 +519,7 @@
 	for u.fd >= 0 {
 		switch u.state {
 		case upHead:
-			if u.t == nil {
-				u.close()
-				return
-			}
-			n, err := http1.ParseResponse(data, &u.head, http1.Limits{}, u.t.r.isHead)
+			n, err := http1.ParseResponse(data, &u.head, http1.Limits{}, u.t != nil && u.t.r.isHead)
 			if err != nil {
 				u.broke(spool.Errored)
 				return
@@ -470,16 +532,22 @@
 			if u.head.Status < 200 {
 				continue // 100 and 103: the answer is still to come
 			}
-			u.excess = len(data) > 0
-			u.answered()
+			u.excess = len(data) > 0 && len(u.line) == 0
+			if u.t == nil { // nobody wants it any more
+				u.body.Start(&u.head, 0)
+				u.unwanted()
+			} else {
+				u.answered()
+			}
 		case upBody:
 			rest, whole := u.relay(data)
 			if u.fd < 0 || u.state != upBody {
 				return
 			}
 			if whole {
-				u.finishBody(len(rest) > 0)
-				return
+				u.finishBody(len(rest) > 0 && len(u.line) == 0)
+				data = rest
+				break
 			}
 			u.left = u.left[:0]
 			return
@@ -492,15 +560,15 @@
 				}
 				data = data[n:]
 			}
-			u.left = u.left[:0]
-			if u.body.Done() {
-				if len(data) > 0 || u.head.Close {
-					u.close()
-				} else {
-					u.toIdle()
-				}
+			if !u.body.Done() {
+				u.left = u.left[:0]
+				return
 			}
-			return
+			if len(data) > 0 && len(u.line) == 0 || u.head.Close {
+				u.close()
+				return
+			}
+			u.advance()
 		default: // idle or closed by what the answer led to
 			if len(data) > 0 {
 				u.close()
@@ -518,7 +586,7 @@
 
 // answered has an answer's head: it becomes the client's, or an outcome.
 func (u *upstream) answered() {
-	t, e := u.t, u.e
+	t := u.t
 	r := t.r
 	if v := u.head.Get("spool-load"); v != nil {
 		t.load = fillwire.ParseLoad(t.load, v)
@@ -536,21 +604,21 @@
 		}
 	}
 	t.u, u.t = nil, nil
-	if u.state = upDrain; u.body.Kind() == http1.UntilClose {
-		t.end(result, note, false)
+	u.unwanted()
+	t.end(result, note, false)
+}
+
+// unwanted passes over the rest of an answer that is nobody's.
+func (u *upstream) unwanted() {
+	u.state, u.drain = upDrain, drainLimit
+	switch {
+	case u.body.Kind() == http1.UntilClose, u.body.Done() && (u.head.Close || u.excess):
 		u.close()
-		return
-	}
-	u.drain = drainLimit
-	e.l.Arm(&u.timer, e.s.Limits.BodyIdle)
-	if u.body.Done() {
-		if u.head.Close || u.excess {
-			u.close()
-		} else {
-			u.toIdle()
-		}
+	case u.body.Done():
+		u.advance()
+	default:
+		u.e.l.Arm(&u.timer, u.e.s.Limits.BodyIdle)
 	}
-	t.end(result, note, false)
 }
 
 // relayHead begins the client's answer: from now on the attempt is the client's.
@@ -685,7 +753,7 @@
 	keep := !excess && !u.head.Close && u.body.Kind() != http1.UntilClose
 	note := u.note
 	if keep {
-		u.toIdle()
+		u.advance()
 	} else {
 		u.close()
 	}
