A long pipelined head is read on in its turn; pools of earlier starts are let go

Cause: what was read ahead past (pipelined n) stopped the reading also once it was that request's turn; it was answered 408. Pools of addresses that members have left were kept for ever. Change: a head or body that is coming goes by its own limits; empty pools go when the list changes.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -92,7 +92,8 @@
 	if len(rest) > 0 {
 		c.left = append(data[:0], rest...)
 	}
-	if c.paused && len(c.left) < c.e.s.Limits.Pipelined {
+	// a head or a body that is coming has limits of its own
+	if c.paused && (c.cur == nil || c.cur.phase == takingBody || len(c.left) < c.e.s.Limits.Pipelined) {
 		c.paused = false
 		c.wants()
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -365,10 +365,13 @@
 		m, ok := e.core.Member(id)
 		return ok && m.State != spool.Serving
 	}
-	for _, p := range e.pools {
+	for address, p := range e.pools {
 		if out(p.member) {
 			p.closeIdle()
 		}
+		if len(p.all)+len(p.wait) == 0 && e.core.Address(p.member) != address {
+			delete(e.pools, address) // of an earlier start of the member
+		}
 	}
 	e.takeBack(func(t *try) bool { return out(t.cache) || t.source != t.cache && out(t.source) })
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -659,3 +659,25 @@
 	}
 	r.waitFor("the end of all", func(s *Stats, _ *core.Core) bool { return s.Held == 0 })
 }
+
+// A pipelined request whose head is longer than what is read ahead, and comes
+// in two pieces, is read on once it is its turn.
+func TestLongPipelinedHead(t *testing.T) {
+	r := newRig(t, 1, "(pipelined 2048) (head-time 2000)")
+	r.boxes["b0"].Fault(standin.Fault{Kind: standin.Pauses, For: 200, Every: 1000, Length: 200})
+	c := r.dial()
+	io.WriteString(c, "GET /s/1/a HTTP/1.1\r\nHost: h\r\n\r\n")
+	r.waitFor("the first", func(s *Stats, _ *core.Core) bool { return s.Held == 1 })
+	io.WriteString(c, "GET /s/1/b HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 6000))
+	br := bufio.NewReader(c)
+	for i := range 2 {
+		res, err := http.ReadResponse(br, nil)
+		if err != nil || res.StatusCode != 200 {
+			t.Fatalf("answer %d: %v, %v", i, res, err)
+		}
+		io.Copy(io.Discard, res.Body)
+		if i == 0 {
+			io.WriteString(c, "x\r\n\r\n")
+		}
+	}
+}
--- a/internal/fillwire/fillwire_test.go
+++ b/internal/fillwire/fillwire_test.go
@@ -152,3 +152,39 @@
 		ParseAttempt([]string{v})
 	})
 }
+
+// Side by side: an attempt's field and its answer's status by hand, as the
+// router does, and by the library.
+func BenchmarkAttempt(b *testing.B) {
+	a := Attempt{ID: "r1-7", From: "r1", Class: "video", Object: "/v/7/a", Group: 7, Keep: 1, Age: 1e9, Left: 400}
+	h := &http1.Head{Status: 200, Fields: []http1.Field{{Name: []byte("Cache-Status"), Value: []byte(`"b"; hit; ttl=4`)}}}
+	b.Run("hand", func(b *testing.B) {
+		buf := make([]byte, 0, 512)
+		b.ReportAllocs()
+		for b.Loop() {
+			buf = a.Append(buf[:0])
+			Judge(h, true, false)
+		}
+	})
+	b.Run("httpsfv", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			d := httpsfv.NewDictionary()
+			d.Add("id", httpsfv.NewItem(a.ID))
+			d.Add("n", httpsfv.NewItem(a.Number))
+			d.Add("from", httpsfv.NewItem(a.From))
+			d.Add("class", httpsfv.NewItem(a.Class))
+			d.Add("obj", httpsfv.NewItem(a.Object))
+			d.Add("group", httpsfv.NewItem(a.Group))
+			d.Add("keep", httpsfv.NewItem(a.Keep))
+			d.Add("age", httpsfv.NewItem(a.Age))
+			d.Add("left", httpsfv.NewItem(a.Left))
+			if _, err := httpsfv.Marshal(d); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := httpsfv.UnmarshalList([]string{string(h.Fields[0].Value)}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
