--- a/cmd/spool-bench/main.go
+++ b/cmd/spool-bench/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -25,11 +26,7 @@
 	run := &cobra.Command{Use: "run", Short: "Hits of several sizes over several numbers of connections", Args: cobra.NoArgs,
 		Example: "  spool-bench run\n  spool-bench run --kb 1 --conns 64 --proxies spool,fasthttp --span 3s",
 		RunE: func(c *cobra.Command, _ []string) error {
-			self, err := os.Executable()
-			if err != nil {
-				return err
-			}
-			server, err := bench.StartChild(c.Context(), []string{self, "child"}, "server", "-")
+			child, server, err := begin(c.Context())
 			if err != nil {
 				return err
 			}
@@ -41,7 +38,7 @@
 			for _, kb := range sizes {
 				for _, n := range conns {
 					for _, p := range proxies {
-						m, err := bench.StartChild(c.Context(), []string{self, "child"}, p, server.Addr)
+						m, err := bench.StartChild(c.Context(), child, p, server.Addr)
 						if err != nil {
 							return err
 						}
@@ -69,17 +66,13 @@
 	run.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	mem := &cobra.Command{Use: "idle", Short: "Memory of connections that ask once and then nothing", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			self, err := os.Executable()
-			if err != nil {
-				return err
-			}
-			server, err := bench.StartChild(c.Context(), []string{self, "child"}, "server", "-")
+			child, server, err := begin(c.Context())
 			if err != nil {
 				return err
 			}
 			defer server.Stop()
 			for _, p := range idlers {
-				m, err := bench.StartChild(c.Context(), []string{self, "child"}, p, server.Addr)
+				m, err := bench.StartChild(c.Context(), child, p, server.Addr)
 				if err != nil {
 					return err
 				}
@@ -113,3 +106,14 @@
 	root.AddCommand(run, mem, child)
 	cli.Main(root)
 }
+
+// begin starts the server behind the proxies, and says how to start those.
+func begin(ctx context.Context) (child []string, server *bench.Machine, err error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, nil, err
+	}
+	child = []string{self, "child"}
+	server, err = bench.StartChild(ctx, child, "server", "-")
+	return child, server, err
+}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -31,7 +31,7 @@
 (list (lag-from 50) (lag-to 200) (purge-from 20) (purge-to 100))
 (rules (cold-time 3000) (fall-time 1000) (parent-cold-time 3000) (purge-takes 2000))
 (limits (connect 200))
-(fill (direct) (joins))
+(fill (direct) (joins) (sizes))
 (zone z (boxes 3) (capacity 20))
 (parents (count 2) (capacity 40) (latency 2)) (origin (capacity 80) (latency 5))
 (class still (share 0.6) (kb 20) (objects 60) (deadline 2000))
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -53,12 +53,11 @@
 
 // Day is a day being played.
 type Day struct {
-	s    *Script
-	o    Options
-	dir  string
-	tap  *tap.Writer
-	recs *tap.Writer
-	rng  *rand.Rand
+	s   *Script
+	o   Options
+	dir string
+	tap *tap.Writer
+	rng *rand.Rand
 
 	mu       sync.Mutex
 	machines map[string]*machine
@@ -88,30 +87,6 @@
 	life     int
 }
 
-// tee writes records to memory and, if asked, to a file.
-type tee struct {
-	mu   sync.Mutex
-	recs *tap.Writer
-	out  io.Writer
-	err  error
-}
-
-func (t *tee) Write(line []byte) (int, error) {
-	var r tap.Record
-	if err := json.Unmarshal(line, &r); err != nil {
-		return len(line), nil // the last line of a killed machine
-	}
-	t.recs.Add(r)
-	if t.out != nil {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if _, err := t.out.Write(line); err != nil && t.err == nil {
-			t.err = fmt.Errorf("day: the tap can't be written: %w", err)
-		}
-	}
-	return len(line), nil
-}
-
 // Run plays a day to its end and judges it.
 func Run(ctx context.Context, s *Script, o Options) (*Result, error) {
 	if o.Routers > 0 {
@@ -128,10 +103,8 @@
 		}
 		s.Day.Length = o.Length
 	}
-	d := &Day{s: s, o: o, recs: tap.NewWriter(nil), rng: rand.New(rand.NewPCG(uint64(s.Day.Seed), 0xda7)),
+	d := &Day{s: s, o: o, tap: tap.NewKeeper(o.Tap), rng: rand.New(rand.NewPCG(uint64(s.Day.Seed), 0xda7)),
 		machines: map[string]*machine{}, http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}}
-	sink := &tee{recs: d.recs, out: o.Tap}
-	d.tap = tap.NewWriter(sink)
 	var err error
 	if d.dir = o.Dir; d.dir == "" {
 		if d.dir, err = os.MkdirTemp("", "spool-day-"); err != nil {
@@ -142,20 +115,17 @@
 	}
 	defer d.end()
 	d.tap.Add(s.Figures().Record())
-	if err := d.begin(ctx, sink); err != nil {
+	if err := d.begin(ctx); err != nil {
 		return nil, err
 	}
 	if err := d.play(ctx); err != nil {
 		return nil, err
 	}
 	d.end()
-	if sink.err != nil {
-		return nil, sink.err
-	}
-	if err := errors.Join(d.errs...); err != nil {
+	if err := errors.Join(append(d.errs, d.tap.Err())...); err != nil {
 		return nil, err
 	}
-	recs := d.recs.Records()
+	recs := d.tap.Records()
 	res := &Result{Verdicts: rules.Check(recs, s.Figures()), Dir: d.dir, Records: recs}
 	res.Summary = Summarize(s, recs)
 	if o.Dir == "" && rules.AllOK(res.Verdicts) {
@@ -181,7 +151,7 @@
 }
 
 // begin starts list, stand-ins and routers.
-func (d *Day) begin(ctx context.Context, sink *tee) error {
+func (d *Day) begin(ctx context.Context) error {
 	s := d.s
 	var err error
 	if d.list, err = standin.StartList(standin.ListConfig{ID: "list", LagFrom: s.List.LagFrom, LagTo: s.List.LagTo,
@@ -189,13 +159,13 @@
 		Seed: uint64(s.Day.Seed)}, d.tap); err != nil {
 		return err
 	}
-	if d.origin, err = d.add(ctx, sink, standin.Config{ID: "origin", Role: "origin", Zone: s.Zones[0].Hub,
+	if d.origin, err = d.add(ctx, standin.Config{ID: "origin", Role: "origin", Zone: s.Zones[0].Hub,
 		Capacity: s.Origin.Cap, Latency: s.Origin.Latency, Limit: s.Origin.Limit}); err != nil {
 		return err
 	}
 	for i := range s.Parents.Count {
 		hub := s.Zones[i%len(s.Zones)].Hub
-		if _, err := d.add(ctx, sink, standin.Config{ID: fmt.Sprintf("parent-%d", i+1), Role: "parent", Zone: hub,
+		if _, err := d.add(ctx, standin.Config{ID: fmt.Sprintf("parent-%d", i+1), Role: "parent", Zone: hub,
 			Upstream: d.origin.addr, Capacity: s.Parents.Cap, Bytes: int64(s.Parents.MB * (1 << 20)),
 			Latency: s.Parents.Latency, ColdFrom: s.Rules.ParentColdFrom, ColdTime: s.Rules.ParentColdTime,
 			Fall: s.Rules.ParentFall, RunOn: true}); err != nil {
@@ -204,7 +174,7 @@
 	}
 	for _, z := range s.Zones {
 		for i := range z.Boxes {
-			if _, err := d.add(ctx, sink, standin.Config{ID: fmt.Sprintf("%s-%d", z.Name, i+1), Role: "box", Zone: z.Name,
+			if _, err := d.add(ctx, standin.Config{ID: fmt.Sprintf("%s-%d", z.Name, i+1), Role: "box", Zone: z.Name,
 				Capacity: z.Cap, Bytes: int64(z.MB * (1 << 20)), LinkIn: z.Link / float64(z.Boxes), MaxFills: z.Fills,
 				ColdFrom: s.Rules.ColdFrom, ColdTime: s.Rules.ColdTime, Fall: s.Rules.FallFactor, RunOn: true}); err != nil {
 				return err
@@ -231,14 +201,14 @@
 }
 
 // add starts a machine and lists it.
-func (d *Day) add(ctx context.Context, sink *tee, c standin.Config) (*machine, error) {
+func (d *Day) add(ctx context.Context, c standin.Config) (*machine, error) {
 	st := &d.s.Stand
 	c.Flow, c.FillFlow, c.FillWait, c.FallTime, c.Feedback = st.Flow, st.FillFlow, st.FillWait, d.s.Rules.FallTime, st.Feedback
 	c.Seed = uint64(d.s.Day.Seed)<<16 + uint64(len(d.order))
 	for _, k := range d.s.Classes {
 		c.Classes = append(c.Classes, standin.Class{Name: k.Name, KB: k.KB, Fresh: k.Fresh, Write: k.Write, Window: k.Window})
 	}
-	m := &machine{cfg: c, row: core.Row{ID: c.ID, Kind: c.Role, Zone: c.Zone, Size: 1, Start: 0}}
+	m := &machine{cfg: c, row: core.Row{ID: c.ID, Kind: c.Role, Zone: c.Zone, Size: c.Capacity}}
 	d.machines[c.ID] = m
 	d.order = append(d.order, c.ID)
 	return m, d.startMachine(ctx, m, false)
@@ -252,8 +222,7 @@
 	if err != nil {
 		return err
 	}
-	sink := d.sink()
-	p, err := start(d.o.Self, ChildStand, in, os.Stderr, func(line []byte) { sink.Write(line) })
+	p, err := start(d.o.Self, ChildStand, in, os.Stderr, d.tap.AddLine)
 	if err != nil {
 		return err
 	}
@@ -276,24 +245,6 @@
 	return nil
 }
 
-// sink takes the records of machines.
-func (d *Day) sink() io.Writer {
-	return writerFunc(func(b []byte) (int, error) { return d.tapLine(b) })
-}
-
-type writerFunc func([]byte) (int, error)
-
-func (f writerFunc) Write(b []byte) (int, error) { return f(b) }
-
-func (d *Day) tapLine(b []byte) (int, error) {
-	var r tap.Record
-	if err := json.Unmarshal(b, &r); err != nil {
-		return len(b), nil // cut short by SIGKILL
-	}
-	d.tap.Add(r)
-	return len(b), nil
-}
-
 func (d *Day) startRouter(ctx context.Context, r *router) error {
 	in, err := json.Marshal(r.settings)
 	if err != nil {
@@ -619,10 +570,10 @@
 	return nil
 }
 
-func (d *Day) fault(m *machine, f standin.Fault) error { return d.post(ctx5(), m, "/-/fault", f, nil) }
-
-// ctx5 is for words of control, which outlive a day that is interrupted.
-func ctx5() context.Context { return context.Background() }
+// fault tells a machine of its trouble, also while a day is being ended.
+func (d *Day) fault(m *machine, f standin.Fault) error {
+	return d.post(context.Background(), m, "/-/fault", f, nil)
+}
 
 type purgeWord struct {
 	Object string  `json:"object"`
@@ -634,7 +585,7 @@
 // their copies in their own time.
 func (d *Day) purge(ctx context.Context, object string, group int) error {
 	w := purgeWord{Object: object, Group: group}
-	if err := d.post(ctx5(), d.origin, "/-/purge", w, &w); err != nil {
+	if err := d.post(context.Background(), d.origin, "/-/purge", w, &w); err != nil {
 		return err
 	}
 	d.list.Purge(object, group, w.Made)
@@ -648,7 +599,7 @@
 		go func() {
 			defer d.wg.Done()
 			if sleep(ctx, lag) {
-				d.post(ctx5(), m, "/-/purge", w, nil) // one that is down has nothing to drop
+				d.post(context.Background(), m, "/-/purge", w, nil) // one that is down has nothing to drop
 			}
 		}()
 	}
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -567,10 +567,19 @@
 	} else {
 		b = http1.AppendFieldString(b, "Host", r.e.name)
 	}
+	b = appendEndToEnd(b, h, ours)
+	b = append(b, "Via: 1.1 "...)
+	b = append(b, r.e.name...)
+	r.fwd = append(b, "\r\n"...)
+}
+
+// appendEndToEnd appends the fields of a head that are not for one connection
+// only, but for those that except names.
+func appendEndToEnd(b []byte, h *http1.Head, except func(name []byte) bool) []byte {
 	named := h.Has("connection")
 	for i := range h.Fields {
 		f := &h.Fields[i]
-		if http1.HopByHop(f.Name) || ours(f.Name) || named && h.Named(f.Name) {
+		if http1.HopByHop(f.Name) || except(f.Name) || named && h.Named(f.Name) {
 			continue
 		}
 		b = append(b, f.Name...)
@@ -578,9 +587,7 @@
 		b = append(b, f.Value...)
 		b = append(b, "\r\n"...)
 	}
-	b = append(b, "Via: 1.1 "...)
-	b = append(b, r.e.name...)
-	r.fwd = append(b, "\r\n"...)
+	return b
 }
 
 // ours reports fields that a client may not set for the caches, or that are
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -631,18 +631,7 @@
 	e.l.Disarm(&t.timer)
 	u.note = note
 	b := http1.AppendStatus(e.hbuf[:0], u.head.Status)
-	named := u.head.Has("connection")
-	for i := range u.head.Fields {
-		f := &u.head.Fields[i]
-		if http1.HopByHop(f.Name) || named && u.head.Named(f.Name) || http1.EqualFold(f.Name, "content-length") ||
-			http1.EqualFold(f.Name, "spool-load") {
-			continue
-		}
-		b = append(b, f.Name...)
-		b = append(b, ": "...)
-		b = append(b, f.Value...)
-		b = append(b, "\r\n"...)
-	}
+	b = appendEndToEnd(b, &u.head, theirs)
 	b = append(b, "Via: 1.1 "...)
 	b = append(b, e.name...)
 	b = append(b, "\r\n"...)
@@ -737,6 +726,11 @@
 	u.e.l.Want(u.fd, loop.Read)
 }
 
+// theirs reports fields of an answer that are for the router, or written anew.
+func theirs(name []byte) bool {
+	return http1.EqualFold(name, "content-length") || http1.EqualFold(name, "spool-load")
+}
+
 var lastChunk = []byte(http1.LastChunk)
 
 // finishBody has the whole answer. More bytes than it may have end the
--- a/internal/fillwire/fillwire.go
+++ b/internal/fillwire/fillwire.go
@@ -292,54 +292,36 @@
 // understood counts as not said.
 func scanStatus(v []byte) (last status, behind bool) {
 	for len(v) > 0 {
-		end, quoted := len(v), false
-		for i := 0; i < len(v); i++ {
-			if c := v[i]; quoted {
-				if c == '\\' {
-					i++
-				} else if c == '"' {
-					quoted = false
-				}
-			} else if c == '"' {
-				quoted = true
-			} else if c == ',' {
-				end = i
-				break
-			}
-		}
-		m := v[:end]
-		v = v[min(end+1, len(v)):]
+		var m []byte
+		m, v = cutQuoted(v, ',')
 		behind = behind || last.fwd
 		last = scanMember(m)
 	}
 	return last, behind
 }
 
+// cutQuoted cuts at the first separator outside of quoted strings.
+func cutQuoted(v []byte, sep byte) (before, after []byte) {
+	quoted := false
+	for i := 0; i < len(v); i++ {
+		switch c := v[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case c == sep && !quoted:
+			return v[:i], v[i+1:]
+		}
+	}
+	return v, nil
+}
+
 func scanMember(m []byte) (s status) {
-	first := true
+	_, m = cutQuoted(m, ';') // the cache's name
 	for len(m) > 0 {
-		end, quoted := len(m), false
-		for i := 0; i < len(m); i++ {
-			if c := m[i]; quoted {
-				if c == '\\' {
-					i++
-				} else if c == '"' {
-					quoted = false
-				}
-			} else if c == '"' {
-				quoted = true
-			} else if c == ';' {
-				end = i
-				break
-			}
-		}
-		p := bytes.TrimSpace(m[:end])
-		m = m[min(end+1, len(m)):]
-		if first {
-			first = false
-			continue
-		}
-		name, value, _ := bytes.Cut(p, equals)
+		var p []byte
+		p, m = cutQuoted(m, ';')
+		name, value, _ := bytes.Cut(bytes.TrimSpace(p), equals)
 		switch string(name) {
 		case "hit":
 			s.hit = string(value) != "?0"
--- a/internal/tap/tap.go
+++ b/internal/tap/tap.go
@@ -80,14 +80,19 @@
 // Writer takes records from many goroutines. Each record is one write, so that
 // a process killed at any time leaves whole lines but for the last.
 type Writer struct {
-	mu  sync.Mutex
-	w   io.Writer
-	rec []Record // where w is nil: kept
-	err error
+	mu   sync.Mutex
+	w    io.Writer
+	keep bool
+	rec  []Record
+	err  error
 }
 
-// NewWriter writes to w; nil keeps the records in memory, see Records.
-func NewWriter(w io.Writer) *Writer { return &Writer{w: w} }
+// NewWriter writes to w; nil keeps the records in memory, as NewKeeper does.
+func NewWriter(w io.Writer) *Writer { return &Writer{w: w, keep: w == nil} }
+
+// NewKeeper keeps the records in memory, see Records, and writes them to w too
+// unless that is nil.
+func NewKeeper(w io.Writer) *Writer { return &Writer{w: w, keep: true} }
 
 // Add writes a record; its time is now where none is given. A nil Writer takes
 // nothing.
@@ -98,25 +103,31 @@
 	if r.T == 0 {
 		r.T = Now()
 	}
-	if w.w == nil {
-		w.mu.Lock()
+	var line []byte
+	var err error
+	if w.w != nil {
+		line, err = json.Marshal(r)
+		line = append(line, '\n')
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.keep {
 		w.rec = append(w.rec, r)
-		w.mu.Unlock()
-		return
 	}
-	line, err := json.Marshal(r)
-	if err == nil {
-		line = append(line, '\n')
-		w.mu.Lock()
+	if w.w != nil && err == nil {
 		_, err = w.w.Write(line)
-		w.mu.Unlock()
 	}
-	if err != nil {
-		w.mu.Lock()
-		if w.err == nil {
-			w.err = fmt.Errorf("tap: %w", err)
-		}
-		w.mu.Unlock()
+	if err != nil && w.err == nil {
+		w.err = fmt.Errorf("tap: %w", err)
+	}
+}
+
+// AddLine adds a record that another process has written as a line. What is no
+// record is what a killed process leaves of its last one: it is passed over.
+func (w *Writer) AddLine(line []byte) {
+	var r Record
+	if json.Unmarshal(line, &r) == nil {
+		w.Add(r)
 	}
 }
 
