--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -497,7 +497,7 @@
 			told[k] = append(told[k], purge{r.Born, r.T})
 		case r.Ev == tap.Recv && r.Via == "":
 			recv[at{r.Who, r.Req, r.N, r.Start}] = r.T
-		case r.Ev == tap.Sent && r.Via == "" && r.Status == 200 && !r.Write:
+		case r.Ev == tap.Sent && r.Via == "" && (r.Status == 200 || r.Status == 206) && !r.Write:
 			t, ok := recv[at{r.Who, r.Req, r.N, r.Start}]
 			if !ok {
 				continue
--- a/internal/standin/fill.go
+++ b/internal/standin/fill.go
@@ -163,7 +163,7 @@
 		return fail(http.StatusServiceUnavailable, fillwire.OriginFailed, errors.New("the origin failed behind the source"))
 	case res.StatusCode == http.StatusServiceUnavailable:
 		return fail(http.StatusServiceUnavailable, fillwire.SourceRefused, errors.New("the source refused"))
-	case res.StatusCode != http.StatusOK:
+	case res.StatusCode != http.StatusOK && res.StatusCode != http.StatusPartialContent:
 		return fail(http.StatusBadGateway, fillwire.SourceRefused, errors.New(res.Status))
 	}
 	ver, err := fillwire.ParseVersion(res.Header.Get(fillwire.CopyField))
--- a/internal/standin/origin.go
+++ b/internal/standin/origin.go
@@ -52,7 +52,11 @@
 	born := tap.Now()
 	version := s.origin.version(v.a.Object, v.a.Group)
 	s.mu.Unlock()
-	v.send(version, born, SizeOf(v.key, v.class.KB), fillwire.Handled{Cache: s.cfg.ID}, nil)
+	size := SizeOf(v.key, v.class.KB)
+	if first, last, ok := byteRange(v.r); ok { // each range is an object of its own here
+		size = last - first + 1
+	}
+	v.send(version, born, size, fillwire.Handled{Cache: s.cfg.ID}, nil)
 }
 
 // run runs a write, or drops the repeat of one that was run within the window.
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"indigospool/internal/config"
+	"indigospool/internal/fillwire"
+	"indigospool/internal/tap"
+)
+
+// Content is the same however it is cut, and told apart from other versions'.
+func TestContent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key, v := rapid.String().Draw(t, "key"), rapid.Int64Range(1, 9).Draw(t, "version")
+		whole := make([]byte, 200)
+		Content(whole, key, v, 0)
+		off := rapid.IntRange(0, 150).Draw(t, "off")
+		part := make([]byte, rapid.IntRange(8, 50).Draw(t, "len"))
+		Content(part, key, v, int64(off))
+		if string(part) != string(whole[off:off+len(part)]) {
+			t.Fatal("a part differs from the whole")
+		}
+		if _, ok := Matches(part, key, v, int64(off)); !ok {
+			t.Fatal("a part is not recognized")
+		}
+		if _, ok := Matches(part, key, v+1, int64(off)); ok {
+			t.Fatal("a part passes for another version's")
+		}
+		part[3] ^= 1
+		if at, ok := Matches(part, key, v, int64(off)); ok || at != int64(off)+3 {
+			t.Fatalf("a wrong byte at %d is told at %d", off+3, at)
+		}
+	})
+}
+
+func TestSizes(t *testing.T) {
+	sum := 0.0
+	for i := range 4000 {
+		sum += float64(SizeOf(fmt.Sprint("k", i), 60)) / 1024
+	}
+	if mean := sum / 4000; math.Abs(mean-60) > 3 {
+		t.Errorf("the mean size is %.1f KB, want 60", mean)
+	}
+}
+
+func ask(t *testing.T, addr, path string, a fillwire.Attempt) (int, http.Header, string) {
+	req, _ := http.NewRequest("GET", "http://"+addr+path, nil)
+	req.Header.Set(fillwire.FillField, string(a.Append(nil)))
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	return res.StatusCode, res.Header, string(b)
+}
+
+// A cache does what docs/protocol.md says of looks, fills, ages and purges.
+func TestCacheByTheProtocol(t *testing.T) {
+	classes := []Class{{Name: "c", KB: 10}}
+	o, err := Start(Config{ID: "o", Role: "origin", Flow: 100, Classes: classes}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Kill()
+	b, err := Start(Config{ID: "b", Role: "box", Flow: 100, Classes: classes, MaxFills: 1}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Kill()
+	look := fillwire.Attempt{ID: "r", From: "t", Class: "c", Object: "/x", Group: 1, Keep: 1, Age: 1e9}
+	fill := look
+	fill.Source, fill.At = "o", o.Addr()
+	if code, h, _ := ask(t, b.Addr(), "/x", look); code != 504 || !strings.Contains(h.Get("Cache-Status"), "fwd=miss") {
+		t.Errorf("a look at what it lacks: %d %v", code, h)
+	}
+	if code, h, _ := ask(t, b.Addr(), "/x", fill); code != 200 || h.Get("Cache-Status") != `"o", "b";fwd=miss;stored` {
+		t.Errorf("a fill: %d %v", code, h)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if code, h, _ := ask(t, b.Addr(), "/x", look); code != 200 || !strings.Contains(h.Get("Cache-Status"), "hit") {
+		t.Errorf("a look at what it holds: %d %v", code, h)
+	}
+	young := look
+	young.Age = 1
+	if code, _, _ := ask(t, b.Addr(), "/x", young); code != 504 {
+		t.Errorf("a look at what is too old: %d", code)
+	}
+	o.Purge("/x", 1, 0)
+	young = fill
+	young.Age = 10
+	if _, h, body := ask(t, b.Addr(), "/x", young); !strings.HasPrefix(h.Get("Spool-Copy"), "v=2,") {
+		t.Errorf("a fill after the purge: %v", h)
+	} else if _, ok := Matches([]byte(body), "/x", 2, 0); !ok {
+		t.Error("its bytes are not the new version's")
+	}
+	gone := fill
+	gone.At = "127.0.0.1:1"
+	if code, h, _ := ask(t, b.Addr(), "/y", gone); code != 503 || !strings.Contains(h.Get("Cache-Status"), "detail=source-unreached") {
+		t.Errorf("a fill from nowhere: %d %v", code, h)
+	}
+	if code, _, body := ask(t, b.Addr(), "/y", fillwire.Attempt{ID: "r", Keep: 9}); code != 400 {
+		t.Errorf("a malformed attempt: %d %s", code, body)
+	}
+}
+
+// A cold cache that is sent too much falls over, and answers nothing any more.
+func TestFallsOverOnTheSocket(t *testing.T) {
+	w := tap.NewWriter(nil)
+	b, err := Start(Config{ID: "b", Role: "box", Cold: true, Capacity: 1, ColdFrom: 0.2, ColdTime: 60000, Fall: 2, FallTime: 1000,
+		Flow: 1, Classes: []Class{{Name: "c", KB: 100}}}, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Kill()
+	look := fillwire.Attempt{ID: "r", Class: "c", Object: "/x", Age: 1e9}
+	for i := range 8 { // 100 ms of work each, where 400 are borne
+		code, _, what := ask(t, b.Addr(), "/x", look)
+		if want := i < 4; (code == 504) != want {
+			t.Fatalf("attempt %d: %d %s", i, code, what)
+		}
+	}
+}
+
+func TestFaultsAreChecked(t *testing.T) {
+	f := newFaults(1)
+	for _, x := range []Fault{{Kind: "sulk"}, {Kind: Hang, For: -1}, {Kind: Slow, Share: 2}} {
+		if f.set(0, x) == nil {
+			t.Errorf("%+v was taken", x)
+		}
+	}
+}
+
+func TestFleetFile(t *testing.T) {
+	var f Fleet
+	err := config.Read("f.edn", `(machine a (role parent)) (machine a) (list (lag-from 9))`, &f)
+	if err == nil || strings.Count(err.Error(), "\n") != 2 {
+		t.Errorf("want three faults, got:\n%v", err)
+	}
+	if err := config.Read("f.edn", `(machine a (capacity 3)) (class c (kb 5))`, &f); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := f.Config("a"); err != nil || c.Capacity != 3 || c.Classes[0].KB != 5 {
+		t.Errorf("%+v, %v", c, err)
+	}
+	if _, err := f.Config("b"); err == nil {
+		t.Error("a machine that is not there")
+	}
+}
