--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -85,6 +85,7 @@
 	ParentFall     float64 `edn:"parent-fall" def:"2" min:"1"`
 	PurgeTakes     float64 `edn:"purge-takes" def:"6000" min:"0"`
 	PurgeSlack     float64 `edn:"purge-slack" def:"300" min:"0"`
+	Loosen         bool    `edn:"loosen"` // this version may loosen a figure
 }
 
 // Fill says what caches and parents can do.
@@ -154,6 +155,9 @@
 	Size    float64 `edn:"size" def:"1" min:"0"`
 	Address string  `edn:"address,required"`
 	State   string  `edn:"state" def:"serving" oneof:"serving draining removed"`
+	Start   int     `edn:"start" min:"0"` // number of its start; another number: it came back empty
+
+	FillFrom []string `edn:"fill-from"` // where an operator expects it to be filled from; checked, never obeyed
 }
 
 // Check tells what contradicts itself.
--- a/internal/core/news.go
+++ b/internal/core/news.go
@@ -140,7 +140,7 @@
 	n := &News{How: "full"}
 	for _, m := range s.Members {
 		n.Members = append(n.Members, Row{ID: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State,
-			Size: m.Size, Address: m.Address})
+			Size: m.Size, Address: m.Address, Start: int64(m.Start)})
 	}
 	sort.Slice(n.Members, func(i, j int) bool { return n.Members[i].ID < n.Members[j].ID })
 	return n
--- /dev/null
+++ b/internal/fleet/diff.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"sort"
+
+	"indigospool/internal/config"
+)
+
+// Step is one change of the list of members, to be told before the next.
+type Step struct {
+	What    string // drains, starts, changes or removals
+	Members []config.Member
+}
+
+// Diff is what has changed from one list to another, in the order in which it is
+// told: drains come first, so that nothing new goes to who leaves; then new
+// members, new starts and changes, so that there is somebody to take over;
+// removals last. A member with another start number came back empty: it is told
+// as removed before it is told as started. A full list would do the same at
+// once, but could not say that a start is new where the number was reused.
+func Diff(old, new []config.Member) (steps []Step) {
+	was := map[string]config.Member{}
+	for _, m := range old {
+		was[m.ID] = m
+	}
+	is := map[string]bool{}
+	var drains, gone, starts, changes, removals []config.Member
+	for _, m := range new {
+		is[m.ID] = true
+		o, known := was[m.ID]
+		m.Place, o.Place = config.Place{}, config.Place{}
+		switch {
+		case m.State == "removed":
+			if known && o.State != "removed" {
+				removals = append(removals, m)
+			}
+		case m.State == "draining":
+			if !known || !same(o, m) {
+				drains = append(drains, m)
+			}
+		case !known:
+			starts = append(starts, m)
+		case o.Start != m.Start || o.Address != m.Address:
+			o.State = "removed"
+			gone = append(gone, o)
+			starts = append(starts, m)
+		case !same(o, m):
+			changes = append(changes, m)
+		}
+	}
+	for _, o := range old {
+		if !is[o.ID] && o.State != "removed" {
+			o.State, o.Place = "removed", config.Place{}
+			removals = append(removals, o)
+		}
+	}
+	add := func(what string, list []config.Member) {
+		if len(list) > 0 {
+			sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+			steps = append(steps, Step{what, list})
+		}
+	}
+	add("drains", drains)
+	add("removals", gone)
+	add("starts", starts)
+	add("changes", changes)
+	add("removals", removals)
+	return steps
+}
+
+func same(a, b config.Member) bool {
+	return a.ID == b.ID && a.Zone == b.Zone && a.Kind == b.Kind && a.Cell == b.Cell && a.Size == b.Size &&
+		a.Address == b.Address && a.State == b.State && a.Start == b.Start
+}
+
+// Apply is a list after the steps, by id: what a router that was told them all
+// goes by. Members that are gone are left out.
+func Apply(old []config.Member, steps []Step) []config.Member {
+	by := map[string]config.Member{}
+	for _, m := range old {
+		m.Place = config.Place{}
+		if m.State != "removed" {
+			by[m.ID] = m
+		}
+	}
+	for _, s := range steps {
+		for _, m := range s.Members {
+			if m.State == "removed" {
+				delete(by, m.ID)
+			} else {
+				by[m.ID] = m
+			}
+		}
+	}
+	out := make([]config.Member, 0, len(by))
+	for _, m := range by {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
