An answer's head goes out at once; one that breaks off is ended in order

The head waited for the first bytes of the body, and the client's connection was reset, which takes from a client what it has not read yet: to it there was no answer at all. Change: the head is written as soon as it has come; after a break the connection is shut down in order, so that the framing shows what is missing; it is reset only where the end alone marks the body (HTTP/1.0).

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -733,3 +733,77 @@
 		t.Errorf("written: %s", b.String())
 	}
 }
+
+// rawMember is a member that does with each connection what the test says.
+func (r *rig) rawMember(serve func(net.Conn)) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				if _, err := http.ReadRequest(br); err == nil {
+					serve(c)
+				}
+			}()
+		}
+	}()
+	before := int64(0)
+	r.e.Query(func(_ *Stats, c *core.Core) { before = c.Rev() })
+	r.set("raw", "box", "z", "serving", ln.Addr().String())
+	r.waitFor("the member", func(_ *Stats, c *core.Core) bool { return c.Rev() > before })
+}
+
+// The head goes to the client before any of the body has come; and when the
+// member then resets, the client has the head, and no end that passes for whole.
+func TestHeadBeforeBody(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 10", "Transfer-Encoding: chunked"} {
+		r := newRig(t, 0, "")
+		proceed := make(chan struct{})
+		r.rawMember(func(c net.Conn) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n", framing)
+			<-proceed
+			c.(*net.TCPConn).SetLinger(0)
+		})
+		c := r.dial()
+		io.WriteString(c, "GET /s/1/a HTTP/1.1\r\nHost: h\r\n\r\n")
+		br := bufio.NewReader(c)
+		c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		if _, err := br.Peek(20); err != nil {
+			t.Fatalf("%s: no head while the body waits: %v", framing, err)
+		}
+		close(proceed)
+		r.waitFor("the break", func(s *Stats, _ *core.Core) bool { return s.Broken == 1 })
+		time.Sleep(20 * time.Millisecond) // the client reads only now
+		res, err := http.ReadResponse(br, nil)
+		if err != nil || res.StatusCode != 200 {
+			t.Fatalf("%s: the head is lost: %v", framing, err)
+		}
+		if _, err := io.ReadAll(res.Body); err != io.ErrUnexpectedEOF {
+			t.Errorf("%s: the body's end: %v, want that it is not whole", framing, err)
+		}
+	}
+}
+
+// To a client of HTTP/1.0 a body without a length ends with the connection: one
+// that broke off is reset, so that its end can't pass for the answer's.
+func TestBrokenToOldClient(t *testing.T) {
+	r := newRig(t, 0, "")
+	r.rawMember(func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+		time.Sleep(50 * time.Millisecond)
+	})
+	c := r.dial()
+	io.WriteString(c, "GET /s/1/a HTTP/1.0\r\n\r\n")
+	if b, err := io.ReadAll(c); err == nil {
+		t.Errorf("read to a clean end: %q", b)
+	}
+}
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -413,11 +413,17 @@
 	started := r.winner == t && r.phase == relaying
 	if started {
 		// the answer has begun, and no other copy may be spliced to it: the
-		// client's connection ends, so that it sees that it is not whole
+		// client's connection ends, and by the framing it sees that this is not
+		// whole. It is not reset, which would take from it what it has not read
+		// yet, unless its end alone would pass for the answer's
 		r.why = endBroken
 		r.e.stats.Broken++
-		unix.SetsockoptLinger(r.c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
-		r.c.close()
+		c := r.c
+		c.last, c.linger = true, true
+		if u.body.Kind() != http1.Length && !u.chunk {
+			unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+			c.close()
+		}
 		r.finish()
 	}
 	t.end(result, spool.NoteNone, started)
@@ -539,6 +545,12 @@
 			} else {
 				u.answered()
 			}
+			if len(data) == 0 && u.fd >= 0 && u.state == upBody {
+				u.t.r.c.flush() // the head goes out at once, however late the body is
+				if u.fd < 0 || u.t == nil {
+					return
+				}
+			}
 		case upBody:
 			rest, whole := u.relay(data)
 			if u.fd < 0 || u.state != upBody {
