--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -324,6 +324,16 @@
 	out := map[key]float64{} // told not serving, and when
 	known := map[string]map[string]bool{}
 	fullAt := map[string]float64{}
+	outAt := map[string]float64{} // when a router was first told of one that is out now; 0: nobody is
+	recount := func(router string) {
+		first := 0.0
+		for k, t := range out {
+			if k.router == router && (first == 0 || t < first) {
+				first = t
+			}
+		}
+		outAt[router] = first
+	}
 	inFull := map[string]map[string]bool{}
 	closeFull := func(router string) {
 		named := inFull[router]
@@ -336,6 +346,7 @@
 			}
 		}
 		delete(inFull, router)
+		recount(router)
 	}
 	for i := range c.recs {
 		r := &c.recs[i]
@@ -348,6 +359,7 @@
 			}
 			delete(known, r.Who)
 			delete(inFull, r.Who)
+			delete(outAt, r.Who)
 		case r.Ev == tap.Told && r.Note == "full":
 			closeFull(r.Who)
 			inFull[r.Who], fullAt[r.Who] = map[string]bool{}, r.T
@@ -367,8 +379,12 @@
 			} else if _, is := out[k]; !is {
 				out[k] = r.T
 			}
+			recount(r.Who)
 		case r.Ev == tap.Recv && r.Via == "":
 			closeFull(r.From)
+			if due := outAt[r.From]; due > 0 && r.T > due+c.f.DrainGrace+c.f.Spread {
+				c.out[3].Checks++ // somebody is out for this router, and it sent elsewhere or did not
+			}
 			for _, m := range []string{r.Who, r.Src} {
 				if m == "" {
 					continue
@@ -377,7 +393,6 @@
 				if !is {
 					continue
 				}
-				c.out[3].Checks++
 				if r.T > t+c.f.DrainGrace+c.f.Spread {
 					as := "as a request"
 					if m == r.Src && m != r.Who {
@@ -386,7 +401,6 @@
 					c.fail(3, i, "%s used %s %s %.0f ms after it was told that it drains or is gone", r.From, m, as, r.T-t)
 				}
 			}
-			c.out[3].Checks++
 		}
 	}
 }
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -41,6 +41,8 @@
 		{T: 1504, Ev: tap.End, ID: "c2", Who: "r1"},
 		// b2 drains
 		{T: 2000, Ev: tap.Told, Who: "r1", Src: "b2", State: "draining", Start: 1},
+		{T: 2600, Ev: tap.Recv, ID: "c8", Who: "b1", Start: 1, Req: "q7", N: 0, From: "r1", Class: "still", Object: "/y", Work: 30},
+		{T: 2601, Ev: tap.Sent, ID: "c8", Who: "b1", Start: 1, Req: "q7", N: 0, From: "r1", Class: "still", Object: "/y", Status: 200, Ver: 1},
 		// b3 starts cold
 		{T: 3000, Ev: tap.Up, Who: "b3", Role: "box", Start: 2, Cold: true, Work: 10, Note: "z"},
 		{T: 3100, Ev: tap.Told, Who: "r1", Src: "b3", State: "serving", Start: 2},
