A stand-in that resets an attempt says so in the tap

Cause: attempts reset by a fallen box had no end in the tap, so that rule 2 took the next for a second one at once. Change: the end is recorded.

--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -321,8 +321,13 @@
 	v.s.tap.Add(rec)
 }
 
+// reset ends the attempt's connection; the attempt ends with it.
 func (v *visit) reset() {
-	v.answered.Store(true)
+	if !v.answered.Swap(true) {
+		rec := v.rec
+		rec.Ev, rec.Note = tap.Left, "reset"
+		v.s.tap.Add(rec)
+	}
 	if c, _, err := v.w.(http.Hijacker).Hijack(); err == nil {
 		reset(c)
 	}
