Waiting requests are looked at only where one could go on

Cause: with 1,000 clients before one cache, each place that became free cost the module a look at, and a sort of, all who waited: 80 % of the router's time. Change: pump picks the best few while a cache takes anything; once none does, only requests that could go on without one are looked at. The same decisions in the same order.

--- a/router.go
+++ b/router.go
@@ -329,10 +329,8 @@
 // so that faults and bytes of fills are known for what they are.
 func (r *Router) advance(q *request) {
 	q.parked = false
-	free := len(q.tries) == 0 || q.tries[len(q.tries)-1].lacked
-	late := q.ran != nil && (q.class.Effect == SingleShot ||
-		q.class.Effect == Guarded && r.now >= q.ranAt+q.class.Window-2*r.s.Tick)
-	if q.Deadline-r.now <= 2*r.s.Tick || len(q.tries) >= r.s.MaxAttempts || late || !free && r.retries < 1 {
+	free := q.freely()
+	if r.spent(q) {
 		r.finish(q)
 		return
 	}
@@ -378,6 +376,17 @@
 	r.do(send)
 }
 
+// freely reports whether the next attempt costs nothing of the retries' budget.
+func (q *request) freely() bool { return len(q.tries) == 0 || q.tries[len(q.tries)-1].lacked }
+
+// spent reports whether a request may make no further attempt.
+func (r *Router) spent(q *request) bool {
+	late := q.ran != nil && (q.class.Effect == SingleShot ||
+		q.class.Effect == Guarded && r.now >= q.ranAt+q.class.Window-2*r.s.Tick)
+	return q.Deadline-r.now <= 2*r.s.Tick || len(q.tries) >= r.s.MaxAttempts || late ||
+		!q.freely() && r.retries < 1
+}
+
 // age is the oldest copy that will do: under the time since a purge until all
 // caches have dropped older copies; else the fresh time, with the grace where
 // a fill would have to wait. It is never 0, which would mean the default.
@@ -647,27 +656,56 @@
 func (g *gate) free(now Millis) bool { return g.held < g.room && now >= g.next }
 
 // pump lets waiting requests go on, those first that earn most for their work:
-// when the link cannot serve all, the least worth waits.
+// when the link cannot serve all, the least worth waits. Once no cache of the
+// location takes anything, only those are looked at that could go on without one:
+// else each place that becomes free costs a look at all who wait.
 func (r *Router) pump() {
-	var wait []*request
+	r.wait = r.wait[:0]
 	for _, q := range r.order {
 		if q.parked && !q.over {
-			wait = append(wait, q)
+			r.wait = append(r.wait, q)
 		}
 	}
-	earns := func(q *request) float64 {
-		worth := q.class.Worth
-		if q.Retry || r.now+q.work*r.pace > q.arrived+q.aim() { // a repeat has waited before
-			worth *= q.class.LateWorth
+	wait := r.wait
+	for picks := 0; len(wait) > 0 && picks < 4 && !r.closed(); picks++ {
+		top, most := 0, r.earns(wait[0])
+		for i, q := range wait[1:] {
+			if e := r.earns(q); e > most {
+				top, most = i+1, e
+			}
 		}
-		return worth / (q.work + 1)
+		q := wait[top]
+		wait = slices.Delete(wait, top, top+1)
+		r.advance(q)
+	}
+	if r.closed() {
+		direct := r.s.Direct && r.link.free(r.now)
+		wait = slices.DeleteFunc(wait, func(q *request) bool {
+			return q.seat == nil && !direct && !q.writes() && !r.spent(q)
+		})
 	}
-	slices.SortStableFunc(wait, func(a, b *request) int { return cmp.Compare(earns(b), earns(a)) })
+	slices.SortStableFunc(wait, func(a, b *request) int { return cmp.Compare(r.earns(b), r.earns(a)) })
 	for _, q := range wait {
 		r.advance(q)
 	}
 }
 
+// earns is a waiting request's worth for its work.
+func (r *Router) earns(q *request) float64 {
+	worth := q.class.Worth
+	if q.Retry || r.now+q.work*r.pace > q.arrived+q.aim() { // a repeat has waited before
+		worth *= q.class.LateWorth
+	}
+	return worth / (q.work + 1)
+}
+
+// closed reports whether no cache of the location takes a request now, whichever it is.
+func (r *Router) closed() bool {
+	return !slices.ContainsFunc(r.byRole[edge], func(m *member) bool {
+		return !m.gone && m.held < max(m.room, leastRoom) && !(m.suspect && (m.trial || r.now < m.trialAt))
+	})
+}
+
 func (r *Router) judge(q *request, a *attempt, ev Outcome) {
 	fill := a.src != a.at
 	switch ev.Result {
--- a/state.go
+++ b/state.go
@@ -102,6 +102,7 @@
 	byRole         [roles][]*member // listed and up, by id
 	open           map[string]*request
 	order          []*request // as they came
+	wait           []*request // those that wait, while they are gone through
 	timers         map[int64]*request
 	token          int64
 	retries        float64        // further attempts that may be made
