A service's staged rollout as a pure module: one, a tenth, all; it stops by itself

Change: internal/fleet/rollout.go: stages in another order of routers for each version, halted by refusals, silence, or service that falls against the others; the old content follows under a new number; state is kept before any offer of it.

--- /dev/null
+++ b/internal/fleet/rollout.go
@@ -0,0 +1,388 @@
+package fleet
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"sort"
+)
+
+// RolloutSettings are how a service brings a version to its routers. Zero
+// fields mean the defaults.
+type RolloutSettings struct {
+	Stages   []float64 // shares of the routers, in rising order; a share too small for one means one; default 0, 0.1, 1
+	Hold     Millis    // a stage lasts at least so long after its last router has accepted; default 30000
+	Patience Millis    // and is halted when routers have not answered for so long; default 120000
+	Refused  float64   // halted when more than this share of a stage's routers refuse; default 0: any
+	Silent   float64   // share of a stage's routers that may stay without an answer; default 0.05
+	Fall     float64   // halted when service at its routers falls by more than this against the others; default 0.05
+	Reports  int       // reports of service that a comparison needs on either side; default 1
+}
+
+func (s RolloutSettings) filled() RolloutSettings {
+	if len(s.Stages) == 0 {
+		s.Stages = []float64{0, 0.1, 1}
+	}
+	if s.Hold <= 0 {
+		s.Hold = 30000
+	}
+	if s.Patience <= 0 {
+		s.Patience = 120000
+	}
+	if s.Silent <= 0 {
+		s.Silent = 0.05
+	}
+	if s.Fall <= 0 {
+		s.Fall = 0.05
+	}
+	if s.Reports <= 0 {
+		s.Reports = 1
+	}
+	return s
+}
+
+// What a rollout hears of.
+type (
+	// Push begins the rollout of a body. Force takes it to all at once.
+	Push struct {
+		Body  []byte
+		Force bool
+	}
+	// Joined says that a router's stream has begun, and what it runs.
+	Joined struct {
+		Router  string
+		Running int64
+	}
+	// Left says that it has ended.
+	Left struct{ Router string }
+	// Acked says that a router has accepted a version.
+	Acked struct {
+		Router string
+		Number int64
+	}
+	// Nacked says that it has refused one.
+	Nacked struct {
+		Router  string
+		Number  int64
+		Reasons []string
+	}
+	// Report is the share of its requests that a router has served in time of late.
+	Report struct {
+		Router string
+		Served float64
+	}
+	// Pass is time passing.
+	Pass struct{}
+)
+
+// What a rollout wants done.
+type (
+	// Offer sends a version to a router that has a stream.
+	Offer struct {
+		Router  string
+		Version Version
+	}
+	// Halted says that a rollout was stopped, and why. The old content follows
+	// under a new number.
+	Halted struct {
+		Number int64
+		Why    string
+	}
+	// Staged says that a stage has begun.
+	Staged struct {
+		Number  int64
+		Stage   int
+		Routers int
+	}
+	// Finished says that a version is everybody's.
+	Finished struct{ Number int64 }
+	// Keep asks for the state to be put on disk before any Offer after it is sent.
+	Keep struct{ State RolloutState }
+)
+
+// RolloutState is what a service must not forget: numbers are never given twice.
+type RolloutState struct {
+	Last   int64 // highest number ever given
+	Base   Version
+	Next   Version // on its way; Number 0: none
+	Stage  int
+	Halted string // why the last rollout was halted; empty: it was not
+}
+
+// seat is a router as the service knows it.
+type seat struct {
+	joined  bool
+	offered int64
+	running int64 // last accepted
+	refused int64
+	reasons []string
+	served  float64
+	reports int // since the present rollout began
+}
+
+// Rollout brings versions to routers in stages, and stops by itself. Like the
+// Machine it does no I/O, and is not safe for concurrent use.
+type Rollout struct {
+	set     RolloutSettings
+	st      RolloutState
+	now     Millis
+	since   Millis // when the stage's last router accepted, or the stage began
+	began   Millis // of the stage
+	routers map[string]*seat
+	out     []any
+}
+
+// NewRollout goes on from a state; the zero state is a new service's.
+func NewRollout(s RolloutSettings, st RolloutState) *Rollout {
+	return &Rollout{set: s.filled(), st: st, routers: map[string]*seat{}}
+}
+
+// State is what must not be forgotten.
+func (r *Rollout) State() RolloutState { return r.st }
+
+// RouterStatus is what is known of one router.
+type RouterStatus struct {
+	Router  string
+	Joined  bool
+	Running int64
+	Refused int64
+	Reasons []string
+	Served  float64
+}
+
+// Status lists the routers by name.
+func (r *Rollout) Status() []RouterStatus {
+	var out []RouterStatus
+	for id, s := range r.routers {
+		out = append(out, RouterStatus{id, s.joined, s.running, s.refused, s.reasons, s.served})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Router < out[j].Router })
+	return out
+}
+
+// Handle takes one of the events above at the time now and appends what is to be done.
+func (r *Rollout) Handle(now Millis, ev any, dst []any) []any {
+	r.now, r.out = max(now, r.now), dst
+	switch ev := ev.(type) {
+	case Push:
+		r.push(ev)
+	case Joined:
+		s := r.seat(ev.Router)
+		s.joined, s.offered, s.running = true, 0, max(ev.Running, s.running)
+		r.offer(ev.Router)
+	case Left:
+		r.seat(ev.Router).joined = false
+	case Acked:
+		s := r.seat(ev.Router)
+		s.running = max(s.running, ev.Number)
+		if s.refused == ev.Number {
+			s.refused, s.reasons = 0, nil
+		}
+		if ev.Number == r.st.Next.Number {
+			r.since = r.now
+		}
+	case Nacked:
+		s := r.seat(ev.Router)
+		s.refused, s.reasons = ev.Number, ev.Reasons
+	case Report:
+		s := r.seat(ev.Router)
+		s.served = ev.Served
+		s.reports++
+	}
+	r.judge()
+	dst, r.out = r.out, nil
+	return dst
+}
+
+func (r *Rollout) seat(id string) *seat {
+	s := r.routers[id]
+	if s == nil {
+		s = &seat{}
+		r.routers[id] = s
+	}
+	return s
+}
+
+func (r *Rollout) do(a any) { r.out = append(r.out, a) }
+
+// push gives a body a number. One that is on its way is superseded: who has it
+// is offered the new one first.
+func (r *Rollout) push(ev Push) {
+	r.st.Last++
+	v := New(r.st.Last, ev.Body)
+	r.st.Halted = ""
+	if r.st.Base.Number == 0 || ev.Force {
+		r.st.Base, r.st.Next, r.st.Stage = v, Version{}, 0
+		r.do(Keep{r.st})
+		r.offerAll()
+		r.do(Finished{v.Number})
+		return
+	}
+	r.st.Next = v
+	r.begin(0)
+}
+
+// begin begins a stage.
+func (r *Rollout) begin(stage int) {
+	r.st.Stage = stage
+	r.since, r.began = r.now, r.now
+	for _, s := range r.routers {
+		s.reports = 0
+	}
+	r.do(Keep{r.st})
+	r.do(Staged{r.st.Next.Number, stage, len(r.inStage())})
+	r.offerAll()
+}
+
+func (r *Rollout) offerAll() {
+	ids := make([]string, 0, len(r.routers))
+	for id := range r.routers {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		r.offer(id)
+	}
+}
+
+// offer sends a router what is its, unless it has been sent or is run already.
+func (r *Rollout) offer(id string) {
+	s := r.routers[id]
+	v := r.st.Base
+	if r.st.Next.Number > 0 && r.included(id) {
+		v = r.st.Next
+	}
+	if !s.joined || v.Number == 0 || s.offered == v.Number || s.running >= v.Number && s.offered != 0 {
+		return
+	}
+	s.offered = v.Number
+	r.do(Offer{id, v})
+}
+
+// place is where a router stands in the order of a version's stages, from 0 to
+// 1: another for each version, so that not always the same go first.
+func (r *Rollout) place(id string) float64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d/%s", r.st.Next.Number, id)
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
+
+// included reports whether a router is in the present stage, or in one before.
+func (r *Rollout) included(id string) bool {
+	share := r.set.Stages[min(r.st.Stage, len(r.set.Stages)-1)]
+	if share >= 1 {
+		return true
+	}
+	ahead := 0
+	mine := r.place(id)
+	known := 0
+	for other, s := range r.routers {
+		if !s.joined && other != id {
+			continue
+		}
+		known++
+		if p := r.place(other); p < mine || p == mine && other < id {
+			ahead++
+		}
+	}
+	return ahead < max(int(math.Ceil(share*float64(known))), 1)
+}
+
+// inStage are the routers with a stream that are in the present stage.
+func (r *Rollout) inStage() (ids []string) {
+	for id, s := range r.routers {
+		if s.joined && r.included(id) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// judge halts a rollout, or goes on to its next stage.
+func (r *Rollout) judge() {
+	n := r.st.Next.Number
+	if n == 0 {
+		return
+	}
+	ids := r.inStage()
+	if len(ids) == 0 {
+		return // nobody is there to tell: the stage waits
+	}
+	refused, accepted, why := 0, 0, ""
+	for _, id := range ids {
+		s := r.routers[id]
+		switch {
+		case s.refused == n:
+			if refused++; why == "" {
+				why = fmt.Sprintf("%s refuses it", id)
+				if len(s.reasons) > 0 {
+					why += ": " + s.reasons[0]
+				}
+			}
+		case s.running >= n:
+			accepted++
+		}
+	}
+	total := float64(len(ids))
+	silent := float64(len(ids) - refused - accepted)
+	switch {
+	case float64(refused) > r.set.Refused*total:
+		r.halt(fmt.Sprintf("%d of %d routers refuse it; %s", refused, len(ids), why))
+	case silent > r.set.Silent*total && r.now-r.began >= r.set.Patience:
+		r.halt(fmt.Sprintf("%.0f of %d routers have not answered in %.0f s", silent, len(ids), r.set.Patience/1000))
+	case r.fell(ids, n):
+	case silent <= r.set.Silent*total && r.now-r.since >= r.set.Hold:
+		if r.st.Stage+1 < len(r.set.Stages) {
+			r.begin(r.st.Stage + 1)
+			return
+		}
+		r.st.Base, r.st.Next, r.st.Stage = r.st.Next, Version{}, 0
+		r.do(Keep{r.st})
+		r.do(Finished{n})
+	}
+}
+
+// fell halts a rollout when those who run the version serve worse than those
+// who don't.
+func (r *Rollout) fell(ids []string, n int64) bool {
+	in := map[string]bool{}
+	for _, id := range ids {
+		in[id] = true
+	}
+	var mine, others float64
+	var a, b int
+	for id, s := range r.routers {
+		switch {
+		case !s.joined || s.reports < r.set.Reports:
+		case in[id] && s.running >= n:
+			mine, a = mine+s.served, a+1
+		case !in[id]:
+			others, b = others+s.served, b+1
+		}
+	}
+	if a == 0 || b == 0 {
+		return false
+	}
+	mine, others = mine/float64(a), others/float64(b)
+	if others-mine <= r.set.Fall {
+		return false
+	}
+	r.halt(fmt.Sprintf("%d routers that run it serve %.1f %% in time, the other %d %.1f %%", a, 100*mine, b, 100*others))
+	return true
+}
+
+// halt stops a rollout: the old content is offered to all under a new number,
+// since a router never takes a lower one.
+func (r *Rollout) halt(why string) {
+	number := r.st.Next.Number
+	r.st.Last++
+	r.st.Base, r.st.Next, r.st.Stage, r.st.Halted = New(r.st.Last, r.st.Base.Body), Version{}, 0, why
+	r.do(Halted{number, why})
+	r.do(Keep{r.st})
+	r.offerAll()
+}
