--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -26,7 +26,7 @@
 }
 
 const short = `
-(day short (length 3500) (settle 500) (routers 2) (rate 80) (seed 3) (purges 2) (stale-start 500))
+(day short (length 4500) (settle 500) (routers 2) (rate 80) (seed 3) (purges 2) (stale-start 500))
 (stand (flow 8) (fill-wait 1000))
 (list (lag-from 50) (lag-to 200) (purge-from 20) (purge-to 100))
 (rules (cold-time 3000) (fall-time 1000) (parent-cold-time 3000) (purge-takes 2000))
@@ -67,7 +67,7 @@
 // Crash, drain, purge, and a router's kill on one short day: every rule is
 // looked at and kept, and most requests are served.
 func TestShortBadDay(t *testing.T) {
-	res := play(t, `(trouble crash (at 500) (for 800) (boxes 1)) (trouble drain (at 900) (for 1000) (boxes 1))
+	res := play(t, `(trouble crash (at 500) (for 1200) (boxes 1)) (trouble drain (at 900) (for 1800) (boxes 1))
 		(trouble flush (at 1200) (share 0.5)) (trouble router-kill (at 1500) (for 300) (routers 1))
 		(trouble answer-lost (at 1800) (for 600) (boxes 1) (share 0.5))`)
 	all, served := 0, 0
@@ -83,7 +83,7 @@
 // come back cold.
 func TestAllRoutersRestartAtOnce(t *testing.T) {
 	res := play(t, `(trouble zone-loss (at 600) (for 500)) (trouble zone-loss (at 600) (for 500) (zone z))
-		(trouble router-kill (at 700) (for 300) (routers 2))`)
+		(trouble router-kill (at 700) (for 300) (routers 2)) (trouble drain (at 1600) (for 1800) (boxes 1))`)
 	cold := map[string]bool{}
 	for _, r := range res.Records {
 		if r.Ev == tap.Up && r.Cold {
