--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -95,6 +95,19 @@
 	}
 }
 
+// A day played with fewer routers than it was written for.
+func TestFewerRouters(t *testing.T) {
+	s := read(t, "(trouble router-kill (at 200) (for 100) (routers 2)) (trouble drain (at 100) (for 900) (boxes 1))")
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	if _, err := Run(ctx, s, Options{Self: []string{os.Args[0]}, Dir: t.TempDir(), Routers: 1, Length: 1000}); err != nil {
+		t.Fatal(err)
+	}
+	if s.Troubles[0].Routers != 1 {
+		t.Errorf("%d of 1 routers are killed", s.Troubles[0].Routers)
+	}
+}
+
 func TestScriptFaults(t *testing.T) {
 	for _, c := range []struct{ add, want string }{
 		{"(trouble crsh (at 1) (boxes 1))", `unknown trouble "crsh"`},
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -91,6 +91,9 @@
 func Run(ctx context.Context, s *Script, o Options) (*Result, error) {
 	if o.Routers > 0 {
 		s.Day.Routers = o.Routers
+		for i := range s.Troubles { // "all of them" stays so
+			s.Troubles[i].Routers = min(s.Troubles[i].Routers, o.Routers)
+		}
 	}
 	if o.Seed > 0 {
 		s.Day.Seed = o.Seed
