--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -250,32 +250,11 @@
 	return b
 }
 
-// write writes at once what the socket takes, and keeps the rest.
+// write writes what waits and b in one call, and keeps what the socket does not take.
 func (c *client) write(b []byte) {
 	if c.gone {
 		return
 	}
-	if c.out.len() == 0 {
-		n, err := loop.WriteFD(c.fd, b)
-		if err == unix.EAGAIN || err == unix.EINTR {
-			n, err = 0, nil
-		}
-		if err != nil {
-			c.lost()
-			return
-		}
-		c.e.stats.OutBytes += uint64(n)
-		c.stalled = c.stalled && n == 0
-		if b = b[n:]; len(b) == 0 {
-			return
-		}
-	}
-	c.add(b)
-	c.wants()
-}
-
-// write2 writes what waits and b in one call, and keeps what the socket does not take.
-func (c *client) write2(b []byte) {
 	n, err := loop.WriteFD2(c.fd, c.out.bytes(), b)
 	if err == unix.EAGAIN || err == unix.EINTR {
 		n, err = 0, nil
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -703,7 +703,7 @@
 			u.e.hbuf = http1.AppendChunk(u.e.hbuf[:0], content)
 			c.add(u.e.hbuf)
 		} else if len(content) > 2048 && c.out.len() <= 4096 {
-			c.write2(content)
+			c.write(content)
 		} else {
 			c.add(content)
 		}
