Probes are carried out; a request in flight at a drained box is finished there

Need: the module may ask for a probe; the edge answered without looking. A drain with requests in flight had no test of its own. Change: a probe is a connection made and closed within the time for connects; two tests. Result: a live member, a dead one and an unknown one are told apart; the request in flight gets its hit, and its connection ends after it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,6 +62,7 @@
 	hbuf      []byte     // a head that is being written
 	head      http1.Head // of the request that is being taken
 	stats     Stats
+	probed    func(spool.Probed) // also hears of probes, in tests
 	stopWatch func()
 	stopAdmin func()
 	listState atomic.Value // string: what is known of the list service
@@ -337,9 +338,49 @@
 	}
 }
 
-// probe answers a module that asks for the health of a member: the settings
-// never allow it (core.Module), so that it is not sent, and counts as failed.
-func (e *Edge) probe(id string) { e.tell(spool.Probed{Cache: id}) }
+// prober is a probe under way: a connection that is made and closed.
+type prober struct {
+	e     *Edge
+	id    string
+	fd    int
+	timer loop.Timer
+}
+
+// probe looks whether a member takes connections, within the time for connects.
+func (e *Edge) probe(id string) {
+	fd, _, err := dial(e.core.Address(id))
+	if err != nil {
+		e.heard(spool.Probed{Cache: id})
+		return
+	}
+	p := &prober{e: e, id: id, fd: fd}
+	p.timer.F = func() { p.end(false) }
+	if err := e.l.Add(fd, loop.Write, p); err != nil {
+		unix.Close(fd)
+		e.heard(spool.Probed{Cache: id})
+		return
+	}
+	e.l.Arm(&p.timer, e.s.Limits.Connect)
+}
+
+func (e *Edge) heard(p spool.Probed) {
+	if e.probed != nil {
+		e.probed(p)
+	}
+	e.tell(p)
+}
+
+func (p *prober) OnReady(loop.Ready) {
+	soerr, err := unix.GetsockoptInt(p.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	p.end(err == nil && soerr == 0)
+}
+
+func (p *prober) end(ok bool) {
+	p.e.l.Forget(&p.timer)
+	p.e.l.Remove(p.fd)
+	unix.Close(p.fd)
+	p.e.heard(spool.Probed{Cache: p.id, OK: ok})
+}
 
 // news applies a line of the list service, or the settings' members.
 func (e *Edge) news(n *core.News) core.Applied {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	spool "indigospool"
 	"indigospool/internal/config"
 	"indigospool/internal/core"
 	"indigospool/internal/standin"
@@ -807,3 +808,46 @@
 		t.Errorf("read to a clean end: %q", b)
 	}
 }
+
+// What a box has in hand when it is told to drain is finished there.
+func TestDrainWithRequestInFlight(t *testing.T) {
+	r := newRig(t, 1, "")
+	r.get("/s/1/a")
+	r.boxes["b0"].Fault(standin.Fault{Kind: standin.Pauses, For: 400, Every: 1000, Length: 400})
+	got := make(chan string, 1)
+	go func() {
+		res, _, err := r.get("/s/1/a")
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		got <- res.Header.Get("Cache-Status")
+	}()
+	r.waitFor("the attempt", func(s *Stats, _ *core.Core) bool { return s.Held == 1 })
+	r.set("b0", "box", "z", "draining", r.boxes["b0"].Addr())
+	r.waitFor("the drain", func(_ *Stats, c *core.Core) bool { m, _ := c.Member("b0"); return m.State != 0 })
+	if cs := <-got; cs != `"b0";hit` {
+		t.Errorf("the request in flight got %q", cs)
+	}
+	r.waitFor("its connection's end", func(s *Stats, _ *core.Core) bool {
+		p := r.e.pools[r.boxes["b0"].Addr()]
+		return p == nil || len(p.all) == 0
+	})
+}
+
+// A probe says whether a member takes connections.
+func TestProbe(t *testing.T) {
+	r := newRig(t, 1, "")
+	r.set("dead", "box", "z", "serving", "127.0.0.1:1")
+	r.waitFor("the member", func(_ *Stats, c *core.Core) bool { return c.Address("dead") != "" })
+	for id, want := range map[string]bool{"b0": true, "dead": false, "unknown": false} {
+		got := make(chan bool, 1)
+		r.e.Query(func(*Stats, *core.Core) {
+			r.e.probed = func(p spool.Probed) { got <- p.OK && p.Cache == id }
+			r.e.probe(id)
+		})
+		if ok := <-got; ok != want {
+			t.Errorf("%s: probed %v", id, ok)
+		}
+	}
+}
