Mutual TLS between service and routers, keys read again when they change

Change: internal/control/tls.go; a change that can't be read leaves the last good keys in force and is told. Result: expired, misnamed and wrongly signed certificates are each turned away with the reason; a renewed one comes in without a restart.

--- /dev/null
+++ b/internal/control/tls.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+)
+
+// Keys are the files of one side's certificate, its key, and the authorities
+// that the other side's certificate must come from. They are read again when
+// they change, without a restart; a change that can't be read leaves the last
+// good ones in force.
+type Keys struct {
+	Cert, Key, Authorities string
+	Warn                   func(text string)
+
+	mu     sync.Mutex
+	loaded *loadedKeys
+	looked time.Time
+}
+
+type loadedKeys struct {
+	cert  tls.Certificate
+	roots *x509.CertPool
+	stamp [3]time.Time
+}
+
+const lookAgain = time.Second // how often files are looked at, at most
+
+// Load reads the files, or says which of them is wrong and why.
+func (k *Keys) Load() error {
+	_, err := k.current(true)
+	return err
+}
+
+func (k *Keys) stamps() (s [3]time.Time, err error) {
+	for i, f := range []string{k.Cert, k.Key, k.Authorities} {
+		st, err := os.Stat(f)
+		if err != nil {
+			return s, fmt.Errorf("control: %w", err)
+		}
+		s[i] = st.ModTime()
+	}
+	return s, nil
+}
+
+func (k *Keys) current(strict bool) (*loadedKeys, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !strict && k.loaded != nil && time.Since(k.looked) < lookAgain {
+		return k.loaded, nil
+	}
+	k.looked = time.Now()
+	fresh, err := k.read()
+	switch {
+	case err == nil && fresh != nil:
+		k.loaded = fresh
+	case err != nil && (strict || k.loaded == nil):
+		return nil, err
+	case err != nil && k.Warn != nil:
+		k.Warn(fmt.Sprintf("%v; the keys read before stay in force", err))
+	}
+	return k.loaded, nil
+}
+
+// read reads the files if they have changed.
+func (k *Keys) read() (*loadedKeys, error) {
+	stamp, err := k.stamps()
+	if err != nil {
+		return nil, err
+	}
+	if k.loaded != nil && k.loaded.stamp == stamp {
+		return nil, nil
+	}
+	l := &loadedKeys{stamp: stamp, roots: x509.NewCertPool()}
+	if l.cert, err = tls.LoadX509KeyPair(k.Cert, k.Key); err != nil {
+		return nil, fmt.Errorf("control: certificate %s with key %s: %w", k.Cert, k.Key, err)
+	}
+	pem, err := os.ReadFile(k.Authorities)
+	if err != nil {
+		return nil, fmt.Errorf("control: %w", err)
+	}
+	if !l.roots.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("control: %s holds no certificate of an authority", k.Authorities)
+	}
+	return l, nil
+}
+
+// verify checks the other side's chain with the authorities of now.
+func (k *Keys) verify(raw [][]byte, name string, usage x509.ExtKeyUsage) error {
+	l, err := k.current(false)
+	if err != nil {
+		return err
+	}
+	if len(raw) == 0 {
+		return errors.New("control: the other side shows no certificate")
+	}
+	leaf, err := x509.ParseCertificate(raw[0])
+	if err != nil {
+		return fmt.Errorf("control: the other side's certificate: %w", err)
+	}
+	opts := x509.VerifyOptions{Roots: l.roots, DNSName: name, Intermediates: x509.NewCertPool(), KeyUsages: []x509.ExtKeyUsage{usage}}
+	for _, b := range raw[1:] {
+		if c, err := x509.ParseCertificate(b); err == nil {
+			opts.Intermediates.AddCert(c)
+		}
+	}
+	if _, err := leaf.Verify(opts); err != nil {
+		return fmt.Errorf("control: certificate of %q, valid until %s: %w", leaf.Subject.CommonName, leaf.NotAfter.UTC().Format(time.RFC3339), err)
+	}
+	return nil
+}
+
+// Server are a service's credentials: routers must show a certificate.
+func (k *Keys) Server() credentials.TransportCredentials {
+	return credentials.NewTLS(&tls.Config{MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAnyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			l, err := k.current(false)
+			if err != nil {
+				return nil, err
+			}
+			return &l.cert, nil
+		},
+		VerifyPeerCertificate: func(raw [][]byte, _ [][]*x509.Certificate) error {
+			err := k.verify(raw, "", x509.ExtKeyUsageClientAuth)
+			if err != nil && k.Warn != nil {
+				k.Warn(fmt.Sprintf("a router was turned away: %v", err))
+			}
+			return err
+		}})
+}
+
+// Client are a router's credentials for a service of the given name.
+func (k *Keys) Client(service string) credentials.TransportCredentials {
+	return credentials.NewTLS(&tls.Config{MinVersion: tls.VersionTLS13, ServerName: service,
+		InsecureSkipVerify: true, // the chain and the name are verified below, with the authorities of now
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			l, err := k.current(false)
+			if err != nil {
+				return nil, err
+			}
+			return &l.cert, nil
+		},
+		VerifyPeerCertificate: func(raw [][]byte, _ [][]*x509.Certificate) error {
+			return k.verify(raw, service, x509.ExtKeyUsageServerAuth)
+		}})
+}
