--- a/internal/lastgood/lastgood.go
+++ b/internal/lastgood/lastgood.go
@@ -9,6 +9,7 @@
 package lastgood
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -216,8 +217,10 @@
 	if err != nil {
 		return err
 	}
-	value := binary.BigEndian.AppendUint32(nil, uint32(len(h)))
-	value = append(append(value, h...), v.Body...)
+	rest := binary.BigEndian.AppendUint32(nil, uint32(len(h)))
+	rest = append(append(rest, h...), v.Body...)
+	seal := sealOf(key(v.Number), rest)
+	value := append(seal[:], rest...)
 	err = s.db.Update(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(versions)
 		if err := b.Put(key(v.Number), value); err != nil {
@@ -255,10 +258,20 @@
 	return v, stored, err
 }
 
+// sealOf is the checksum of an entry with its key: a version's own sum covers
+// its body only, and a damaged number is as bad as a damaged body.
+func sealOf(k, rest []byte) [sha256.Size]byte {
+	return sha256.Sum256(append(append([]byte(nil), k...), rest...))
+}
+
 func decode(k, value []byte) (v fleet.Version, stored time.Time, err error) {
-	if len(k) != 8 || len(value) < 4 {
+	if len(k) != 8 || len(value) < sha256.Size+4 {
 		return v, stored, errors.New("lastgood: an entry is too short")
 	}
+	seal, value := value[:sha256.Size], value[sha256.Size:]
+	if want := sealOf(k, value); string(seal) != string(want[:]) {
+		return v, stored, fmt.Errorf("lastgood: the entry with key %x does not match its seal", k)
+	}
 	n := int(binary.BigEndian.Uint32(value))
 	if n > len(value)-4 {
 		return v, stored, errors.New("lastgood: an entry's header is longer than the entry")
