Settings may change under a running router; a version goes with the router's own part

A router that follows a control service has to go by new classes, limits and members without a restart. The module takes Resettled: what it learned of members and classes, purges and requests in hand stay as they are. A version is read together with the router's own file, and is refused where it leaves that router out. A version that takes members away is used at once, since their grace runs; others stay spread. After a restart the stored history tells which members are young, so that they are not taken for warm.

--- a/api.go
+++ b/api.go
@@ -211,21 +211,27 @@
 	Load  []float64
 }
 
+// Resettled says that the settings are others from now on. The zone, the number
+// of this router and what it has learned stay. Settings that contradict
+// themselves change nothing: Settings.Valid tells beforehand.
+type Resettled struct{ Settings Settings }
+
 // Message came from another router.
 type Message struct {
 	From int
 	Text string
 }
 
-func (Members) event() {}
-func (Request) event() {}
-func (Outcome) event() {}
-func (Started) event() {}
-func (Gone) event()    {}
-func (Purge) event()   {}
-func (Timer) event()   {}
-func (Probed) event()  {}
-func (Message) event() {}
+func (Members) event()   {}
+func (Request) event()   {}
+func (Outcome) event()   {}
+func (Started) event()   {}
+func (Gone) event()      {}
+func (Purge) event()     {}
+func (Timer) event()     {}
+func (Probed) event()    {}
+func (Message) event()   {}
+func (Resettled) event() {}
 
 // Action is one thing that a router wants done.
 type Action interface{ action() }
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -53,13 +53,20 @@
 // Read reads settings into the struct that v points to: one top-level form for
 // each of its fields. Every fault is reported, also those of Check where the
 // schema found none. What v held before is gone.
-func Read(file, src string, v any) error {
+func Read(file, src string, v any) error { return readInto(file, src, v, nil) }
+
+// readInto is Read, with something done to what the schema found good before it
+// is checked.
+func readInto(file, src string, v any, then func()) error {
 	forms, faults := read(file, src)
 	d := &decoder{faults: faults}
 	top := reflect.ValueOf(v).Elem()
 	top.SetZero()
 	d.fill(top, forms, Pos{file, 1, 1}, "")
 	if len(d.faults) == 0 {
+		if then != nil {
+			then()
+		}
 		if c, ok := v.(Checker); ok {
 			c.Check(&d.faults)
 		}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -17,6 +17,9 @@
 	Classes []Class  `edn:"class"`
 	Routes  []Route  `edn:"route"`
 	Members []Member `edn:"member"`
+	Control Control  `edn:"control"`
+
+	anywhere bool // no router's in particular: what a router brings is not missed
 }
 
 // Router is what one router is.
@@ -25,7 +28,7 @@
 	Name   string `edn:"name" def:"edge"`
 	Me     int    `edn:"me" min:"0"`                  // its number among the routers
 	Of     int    `edn:"of" def:"1" min:"1"`          // how many routers there are
-	Zone   string `edn:"zone,required"`               // its own
+	Zone   string `edn:"zone"`                        // its own
 	Listen string `edn:"listen" def:"127.0.0.1:8080"` // for clients
 	Admin  string `edn:"admin"`                       // for PURGE and state; host:port, or the path of a Unix socket; empty: none
 	List   string `edn:"list"`                        // address of the list service; empty: the members below only
@@ -160,6 +163,51 @@
 	FillFrom []string `edn:"fill-from"` // where an operator expects it to be filled from; checked, never obeyed
 }
 
+// Control is whom a router follows for versions of its settings. It then keeps
+// of its file: this section, and of (router ...) all but (of n) and the names of
+// headers. The rest of the file is what it starts with where nothing is stored.
+type Control struct {
+	Place    Place
+	Services []string `edn:"services"`                           // addresses; the first that answers is followed
+	Store    string   `edn:"store"`                              // file of the last good version; empty: none is kept
+	Start    string   `edn:"start" def:"file" oneof:"file wait"` // with nothing stored: by this file, or wait for the first version
+	Protocol string   `edn:"protocol" def:"delta" oneof:"delta full"`
+	Name     string   `edn:"name"`                       // of the services, as their certificate has it
+	Cert     string   `edn:"cert"`                       // the router's; empty: the channel is in the clear, on loopback only
+	Key      string   `edn:"key"`                        // of it
+	Roots    string   `edn:"authorities"`                // that the service's certificate must come from
+	Report   float64  `edn:"report" def:"10000" min:"0"` // how often service is reported; 0: never
+	Spread   float64  `edn:"spread" def:"1000" min:"0"`  // see fleet.Settings
+	Lease    float64  `edn:"lease" def:"30000" min:"100"`
+	Old      float64  `edn:"old" def:"60000" min:"100"`
+	Stale    float64  `edn:"stale" def:"600000" min:"1000"`
+	Backoff  float64  `edn:"backoff" def:"250" min:"1"`           // first wait before a service is called again; doubles to 64 times
+	MaxBytes int      `edn:"max-bytes" def:"16777216" min:"1024"` // of a version
+}
+
+// Follows reports whether versions come from a service.
+func (s *Settings) Follows() bool { return len(s.Control.Services) > 0 }
+
+// waits reports whether the file alone is not meant to be served by.
+func (s *Settings) waits() bool { return s.anywhere || s.Follows() && s.Control.Start == "wait" }
+
+// ReadVersion reads the settings of a version. own, if given, is the file of the
+// router that is to run it: its part of (router ...) and (control ...) go before
+// the version's. Without it, only what holds at every router is checked.
+func ReadVersion(file, src string, own, s *Settings) error {
+	return readInto(file, src, s, func() {
+		if own == nil {
+			s.anywhere = true
+			return
+		}
+		r, o := &s.Router, own.Router
+		o.Of, o.DeadlineHeader, o.SizeHeader, o.RetryHeader = r.Of, r.DeadlineHeader, r.SizeHeader, r.RetryHeader
+		o.Place = r.Place
+		s.Router, s.Control = o, own.Control
+		s.Control.Start = "file" // it must be complete now
+	})
+}
+
 // Check tells what contradicts itself.
 func (s *Settings) Check(f *Faults) {
 	add := func(p Pos, key, what, remedy string) { *f = append(*f, Fault{p, key, what, remedy}) }
@@ -175,11 +223,13 @@
 			add(z.Place.Of("hub"), "zone/hub", fmt.Sprintf("hub %q is no zone", z.Hub), fmt.Sprintf("add (zone %s)", z.Hub))
 		}
 	}
-	if len(s.Zones) > 0 && !zones[s.Router.Zone] {
+	if s.Router.Zone == "" && !s.anywhere {
+		add(s.Router.Place.Pos, "router/zone", "the router's zone is not given", "add (zone name) to (router ...)")
+	} else if len(s.Zones) > 0 && !zones[s.Router.Zone] && !s.waits() {
 		add(s.Router.Place.Of("zone"), "router/zone", fmt.Sprintf("%q is no zone", s.Router.Zone),
 			fmt.Sprintf("add (zone %s), or name one of those listed", s.Router.Zone))
 	}
-	if s.Router.Me >= s.Router.Of {
+	if s.Router.Me >= s.Router.Of && !s.waits() {
 		add(s.Router.Place.Of("me"), "router/me", fmt.Sprintf("router number %d of %d", s.Router.Me, s.Router.Of),
 			"numbers run from 0; raise (of n)")
 	}
@@ -199,8 +249,9 @@
 	if s.Router.List != "" {
 		address(s.Router.Place.Of("list"), "router/list", s.Router.List)
 	}
+	s.checkControl(add, address)
 	classes := map[string]*Class{}
-	if len(s.Classes) == 0 {
+	if len(s.Classes) == 0 && (s.anywhere || !s.waits()) {
 		add(s.Router.Place.Pos, "class", "no class is given", "add (class name ...)")
 	}
 	for i := range s.Classes {
@@ -218,7 +269,7 @@
 				"say who drops repeats and for how long")
 		}
 	}
-	if len(s.Routes) == 0 {
+	if len(s.Routes) == 0 && (s.anywhere || !s.waits()) {
 		add(s.Router.Place.Pos, "route", "no route is given", `add (route "/path/{object}" (class name))`)
 	}
 	for _, r := range s.Routes {
@@ -246,7 +297,7 @@
 			add(m.Place.Of("zone"), "member/zone", fmt.Sprintf("%q is no zone", m.Zone), fmt.Sprintf("add (zone %s)", m.Zone))
 		}
 	}
-	if len(s.Members) == 0 && s.Router.List == "" {
+	if len(s.Members) == 0 && s.Router.List == "" && !s.waits() {
 		add(s.Router.Place.Pos, "member", "there is neither a member nor a list service", "add (member ...) or (router (list address))")
 	}
 	if s.Fill.ParentKind != "" && s.Fill.ParentKind == s.Fill.OriginKind {
@@ -255,6 +306,33 @@
 	}
 }
 
+func (s *Settings) checkControl(add func(p Pos, key, what, remedy string), address func(p Pos, key, a string)) {
+	c := &s.Control
+	for _, a := range c.Services {
+		address(c.Place.Of("services"), "control/services", a)
+		host, _, err := net.SplitHostPort(a)
+		if c.Cert == "" && err == nil && host != "localhost" && !net.ParseIP(host).IsLoopback() {
+			add(c.Place.Of("services"), "control/services", fmt.Sprintf("%q is not a loopback address, and there is no certificate", a),
+				"give (cert FILE) (key FILE) (authorities FILE) (name SERVICE): versions say where requests go")
+		}
+	}
+	if n := given(c.Cert, c.Key, c.Roots, c.Name); n != 0 && n != 4 {
+		add(c.Place.Pos, "control/cert", fmt.Sprintf("%d of cert, key, authorities and name are given", n), "give all four, or none")
+	}
+	if !s.Follows() && len(c.Place.keys) > 0 {
+		add(c.Place.Pos, "control", "no service is named", "add (services host:port ...)")
+	}
+}
+
+func given(values ...string) (n int) {
+	for _, v := range values {
+		if v != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // CheckPattern says what is wrong with a route's pattern, or "".
 func CheckPattern(p string) string {
 	seen := map[string]bool{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,14 +46,40 @@
 	if c.router, err = spool.New(c.module, seed); err != nil {
 		return nil, err
 	}
+	if c.routes, err = compileAll(s); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func compileAll(s *config.Settings) (list []route, err error) {
 	for i := range s.Routes {
 		r, err := compile(s, &s.Routes[i])
 		if err != nil {
 			return nil, err
 		}
-		c.routes = append(c.routes, r)
+		list = append(list, r)
 	}
-	return c, nil
+	return list, nil
+}
+
+// Resettle goes by other checked settings from now on; members come by Apply.
+// What the module has learned, and what it holds, stays. On an error nothing
+// has changed.
+func (c *Core) Resettle(now spool.Millis, s *config.Settings, dst []spool.Action) ([]spool.Action, error) {
+	m, err := Module(s)
+	if err == nil {
+		err = m.Valid()
+	}
+	if err != nil {
+		return dst, err
+	}
+	routes, err := compileAll(s)
+	if err != nil {
+		return dst, err
+	}
+	c.Settings, c.module, c.routes = s, m, routes
+	return c.router.Handle(now, spool.Resettled{Settings: m}, dst), nil
 }
 
 var effects = map[string]spool.Effect{"free": spool.Free, "guarded": spool.Guarded, "single-shot": spool.SingleShot}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -209,3 +209,36 @@
 		}
 	}
 }
+
+// Settings change under a core; its members, its list's version and its routes
+// follow, and what can't be taken changes nothing.
+func TestResettle(t *testing.T) {
+	c := load(t)
+	for _, ev := range c.Apply(10, FromSettings(c.Settings)).Events {
+		c.Handle(10, ev, nil)
+	}
+	next := &config.Settings{}
+	if err := config.Read("n.edn", strings.Replace(text, `"/x/*"`, `"/y/*"`, 1), next); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Resettle(20, next, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Classify("q", 30, head(t, c, "GET /y/a HTTP/1.1\r\n")); err != nil {
+		t.Errorf("the new route: %v", err)
+	}
+	if _, err := c.Classify("q", 30, head(t, c, "GET /x/a HTTP/1.1\r\n")); err != ErrNoRoute {
+		t.Errorf("the old route: %v", err)
+	}
+	bad := *next
+	bad.Classes = nil
+	if _, err := c.Resettle(40, &bad, nil); err == nil || len(c.Settings.Classes) == 0 {
+		t.Errorf("settings without a class: %v", err)
+	}
+	for _, ev := range c.Apply(50, FromStep(7, []config.Member{{ID: "b3", Zone: "z", Kind: "box", State: "serving"}}, true)).Events {
+		c.Handle(50, ev, nil)
+	}
+	if m, ok := c.Member("b3"); !ok || m.ReadyAt <= 0 || c.Rev() != 7 {
+		t.Errorf("a member that came with a version: %+v, list %d", m, c.Rev())
+	}
+}
--- a/internal/core/news.go
+++ b/internal/core/news.go
@@ -13,7 +13,7 @@
 // or both. docs/protocol.md defines it.
 type News struct {
 	Rev     int64      `json:"rev"`
-	How     string     `json:"how,omitempty"` // full, delta, or empty for no members
+	How     string     `json:"how,omitempty"` // full, delta, or empty for no members; step: from a version, never on the wire
 	Members []Row      `json:"members,omitempty"`
 	Purge   *PurgeNews `json:"purge,omitempty"`
 }
@@ -137,11 +137,29 @@
 
 // FromSettings is the news that the members of the settings amount to.
 func FromSettings(s *config.Settings) *News {
-	n := &News{How: "full"}
-	for _, m := range s.Members {
-		n.Members = append(n.Members, Row{ID: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State,
-			Size: m.Size, Address: m.Address, Start: int64(m.Start)})
-	}
+	n := &News{How: "full", Members: rows(s.Members)}
 	sort.Slice(n.Members, func(i, j int) bool { return n.Members[i].ID < n.Members[j].ID })
 	return n
 }
+
+// FromStep is the news of members of a version that differ from those of the
+// version before. fresh says that they have just started.
+func FromStep(number int64, members []config.Member, fresh bool) *News {
+	n := &News{Rev: number, How: "step", Members: rows(members)}
+	for i := range n.Members {
+		if fresh {
+			n.Members[i].UpMs = justNow
+		}
+	}
+	return n
+}
+
+const justNow = 0.001 // ms: 0 would mean long ago
+
+func rows(members []config.Member) (out []Row) {
+	for _, m := range members {
+		out = append(out, Row{ID: m.ID, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: m.State,
+			Size: m.Size, Address: m.Address, Start: int64(m.Start)})
+	}
+	return out
+}
--- a/internal/fleet/diff.go
+++ b/internal/fleet/diff.go
@@ -68,6 +68,22 @@
 	return steps
 }
 
+// takesAway reports whether a member takes nothing new by the new list that did
+// by the old one, or has started anew.
+func takesAway(old, new []config.Member) bool {
+	is := map[string]config.Member{}
+	for _, m := range new {
+		is[m.ID] = m
+	}
+	for _, o := range old {
+		m, listed := is[o.ID]
+		if o.State == "serving" && (!listed || m.State != "serving" || m.Start != o.Start || m.Address != o.Address) {
+			return true
+		}
+	}
+	return false
+}
+
 func same(a, b config.Member) bool {
 	return a.ID == b.ID && a.Zone == b.Zone && a.Kind == b.Kind && a.Cell == b.Cell && a.Size == b.Size &&
 		a.Address == b.Address && a.State == b.State && a.Start == b.Start
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,12 +66,13 @@
 
 // Settings are the figures of the machine. Zero fields mean the defaults.
 type Settings struct {
+	Own      *config.Settings // the router's own file: its part goes before a version's; nil: no router's in particular
 	Limits   CheckLimits
 	MaxBytes int    // of a version; default 16 MB
 	Spread   Millis // an accepted version is used within so long, by chance; default 1000
 	Lease    Millis // another service is believed once the one in charge has been silent for so long; default 30000
 	Old      Millis // from this age on the running version is warned of; default 60000
-	Stale    Millis // from this age on states of members in it are not relied on; default 600000
+	Stale    Millis // a version restored at this age or above is called stale; default 600000
 	Remember int    // refused versions that are kept for status; default 32
 }
 
@@ -117,13 +118,21 @@
 }
 
 // Restored is what the disk held at the start: the last good version and how
-// long ago it was stored; or why there is none.
+// long ago it was stored, and those before it, the newest last; or why there is
+// none.
 type Restored struct {
 	Version Version
 	Age     Millis
+	Before  []Aged
 	Err     error
 }
 
+// Aged is a version that was stored so long ago.
+type Aged struct {
+	Version Version
+	Age     Millis
+}
+
 // Tick is time passing; it may come at any time, and comes at the latest when
 // the last Wake is due.
 type Tick struct{}
@@ -154,13 +163,16 @@
 // Store asks for a version to be put on disk; Stored is the answer.
 type Store struct{ Version Version }
 
-// Use has the router run a version from now on. Stale says that it is so old
-// that states of members in it may have changed since: all that it calls
-// serving may be tried, and none of them counts as warm.
+// Use has the router run a version from now on. Stale says that it was restored
+// so old that much may have changed: it is run all the same, since a router that
+// serves nothing helps nobody, and members that are gone are found out as any
+// that fail are. Up is for how long members have been listed under their present
+// start, where that is known to be short.
 type Use struct {
 	Version  Version
 	Settings *config.Settings
 	Stale    bool
+	Up       map[string]Millis
 }
 
 // Wake asks for a Tick after a while; it takes the place of any before it.
@@ -315,7 +327,44 @@
 	m.floor, m.floorSum = ev.Version.Number, ev.Version.Sum
 	m.current, m.running, m.since = ev.Version, s, m.now-max(ev.Age, 0)
 	m.note(ev.Version, Running, "", nil)
-	m.do(Use{ev.Version, s, ev.Age >= m.set.Stale})
+	if ev.Age >= m.set.Stale {
+		m.do(Warn{fmt.Sprintf("configuration %d is stale: it was stored %.0f s ago", ev.Version.Number, ev.Age/1000)})
+	}
+	m.do(Use{ev.Version, s, ev.Age >= m.set.Stale, m.up(ev, s)})
+}
+
+// up tells of members that came with one of the last versions for how long they
+// have been listed: a router that starts again must not take them for warm.
+func (m *Machine) up(ev Restored, s *config.Settings) map[string]Millis {
+	out := map[string]Millis{}
+	since := ev.Age // age of the oldest version in a row that has the member as it is now
+	type start struct {
+		id string
+		n  int
+		at string
+	}
+	now := map[start]bool{}
+	for _, one := range s.Members {
+		now[start{one.ID, one.Start, one.Address}] = true
+	}
+	for i := len(ev.Before) - 1; i >= 0 && len(now) > 0; i-- {
+		old := &config.Settings{}
+		if config.ReadVersion("stored", string(ev.Before[i].Version.Body), m.set.Own, old) != nil {
+			break // one that can't be read says nothing of who was there
+		}
+		had := map[start]bool{}
+		for _, one := range old.Members {
+			had[start{one.ID, one.Start, one.Address}] = true
+		}
+		for k := range now {
+			if !had[k] {
+				out[k.id] = since
+				delete(now, k)
+			}
+		}
+		since = ev.Before[i].Age
+	}
+	return out
 }
 
 // sign books a sign of life, and puts a service in charge where none is.
@@ -391,7 +440,7 @@
 // sense reads a version and makes every check of it.
 func (m *Machine) sense(base *config.Settings, v Version) (*config.Settings, []Reason) {
 	s := &config.Settings{}
-	if err := config.Read(fmt.Sprintf("version-%d", v.Number), string(v.Body), s); err != nil {
+	if err := config.ReadVersion(fmt.Sprintf("version-%d", v.Number), string(v.Body), m.set.Own, s); err != nil {
 		var faults config.Faults
 		if !errors.As(err, &faults) {
 			return nil, []Reason{{"", err.Error(), ""}}
@@ -423,7 +472,9 @@
 	m.floor, m.floorSum = c.v.Number, c.v.Sum
 	m.since = m.now
 	c.useAt = m.now
-	if m.current.Number != 0 { // the first is used at once; later ones not by all routers together
+	// the first is used at once, and one that takes members away: their grace
+	// runs. Others are not used by all routers together.
+	if m.current.Number != 0 && !takesAway(m.running.Members, c.s.Members) {
 		c.useAt += m.rng.Float64() * m.set.Spread
 	}
 	m.note(c.v, Accepted, c.service, nil)
@@ -440,7 +491,7 @@
 			}
 			m.current, m.running, m.next = c.v, c.s, nil
 			m.note(c.v, Running, c.service, nil)
-			m.do(Use{c.v, c.s, false})
+			m.do(Use{Version: c.v, Settings: c.s})
 		} else {
 			next = c.useAt - m.now
 		}
--- a/internal/lastgood/lastgood.go
+++ b/internal/lastgood/lastgood.go
@@ -287,12 +287,33 @@
 	return v, h.Stored, nil
 }
 
-// Restored is the event with which a router's machine begins: what Last gives,
-// its age by the wall clock, never below 0.
+// History are the stored versions in the order of their numbers, with their ages
+// by the wall clock, never below 0.
+func (s *Store) History(now time.Time) (list []fleet.Aged, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			list, err = nil, fmt.Errorf("lastgood: %s: %v", s.path, p)
+		}
+	}()
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		return tx.Bucket(versions).ForEach(func(k, value []byte) error {
+			v, stored, err := decode(k, value)
+			list = append(list, fleet.Aged{Version: v, Age: max(float64(now.Sub(stored).Microseconds())/1000, 0)})
+			return err
+		})
+	})
+	return list, err
+}
+
+// Restored is the event with which a router's machine begins.
 func (s *Store) Restored(now time.Time) fleet.Restored {
-	v, stored, err := s.Last()
+	list, err := s.History(now)
+	if err == nil && len(list) == 0 {
+		err = ErrNone
+	}
 	if err != nil {
 		return fleet.Restored{Err: err}
 	}
-	return fleet.Restored{Version: v, Age: max(float64(now.Sub(stored).Microseconds())/1000, 0)}
+	last := list[len(list)-1]
+	return fleet.Restored{Version: last.Version, Age: last.Age, Before: list[:len(list)-1]}
 }
--- a/router.go
+++ b/router.go
@@ -59,22 +59,39 @@
 
 // New returns a router. Nothing is left to chance so far: the seed is unused.
 func New(s Settings, _ uint64) (*Router, error) {
-	if err := s.check(); err != nil {
+	if err := s.Valid(); err != nil {
 		return nil, err
 	}
-	r := &Router{s: s, retries: retryBurst, link: gate{room: firstRoom}, pace: 1,
-		classes: map[string]*class{}, members: map[string]*member{}, open: map[string]*request{},
+	r := &Router{retries: retryBurst, link: gate{room: firstRoom}, pace: 1,
+		members: map[string]*member{}, open: map[string]*request{},
 		timers: map[int64]*request{}, objects: [2]map[string]*object{{}, {}},
 		purges: map[string]Millis{}, groups: map[int]Millis{}}
-	for _, c := range s.Classes {
-		guess := max(c.Aim/2, 1)
-		r.classes[c.Name] = &class{Class: c, mean: guess, took: guess}
-	}
+	r.adopt(s)
 	r.mean = r.classes[s.Classes[0].Name].mean
+	return r, nil
+}
+
+// adopt goes by settings from now on. What was learned of a class of the same name
+// stays; requests in hand keep the class that they came with, and its effect.
+func (r *Router) adopt(s Settings) {
+	r.s = s
 	if r.s.MaxAttempts <= 0 {
 		r.s.MaxAttempts = 4
 	}
-	return r, nil
+	known := r.classes
+	r.classes = map[string]*class{}
+	for _, c := range s.Classes {
+		guess := max(c.Aim/2, 1)
+		k := &class{Class: c, mean: guess, took: guess}
+		if old := known[c.Name]; old != nil {
+			k.mean, k.took = old.mean, old.took
+		}
+		r.classes[c.Name] = k
+	}
+	for _, m := range r.members {
+		m.role = r.roleOf(m.Member)
+	}
+	r.file()
 }
 
 // Handle takes one event at the time now and appends what is to be done.
@@ -106,6 +123,11 @@
 		} else {
 			r.groups[ev.Group] = max(r.groups[ev.Group], at)
 		}
+	case Resettled:
+		if ev.Settings.Valid() == nil {
+			ev.Settings.Zone, ev.Settings.Me = r.s.Zone, r.s.Me
+			r.adopt(ev.Settings)
+		}
 	case Timer:
 		if ev.Token == 0 {
 			r.beat()
@@ -147,9 +169,17 @@
 		m.Member, m.hash, m.role = row, hashString(row.ID), r.roleOf(row)
 		m.gone = row.State != Serving
 	}
-	r.byRole = [roles][]*member{}
 	for id, m := range r.members {
-		if m.gone = m.gone || ev.Full && !named[id]; !m.gone {
+		m.gone = m.gone || ev.Full && !named[id]
+	}
+	r.file()
+}
+
+// file files members that are up by their role.
+func (r *Router) file() {
+	r.byRole = [roles][]*member{}
+	for _, m := range r.members {
+		if !m.gone {
 			r.byRole[m.role] = append(r.byRole[m.role], m)
 		}
 	}
--- a/state.go
+++ b/state.go
@@ -178,8 +178,8 @@
 
 func (q *request) writes() bool { return q.class.Write || q.Write }
 
-// check tells of settings that contradict themselves.
-func (s Settings) check() error {
+// Valid tells of settings that contradict themselves.
+func (s Settings) Valid() error {
 	switch {
 	case len(s.Classes) == 0:
 		return errors.New("indigospool: settings name no class")
