--- a/cmd/spool-router/main.go
+++ b/cmd/spool-router/main.go
@@ -75,10 +75,11 @@
 		return err
 	}
 	defer log.Close()
-	e, err := edge.New(s, log)
+	e, end, err := edge.Open(ctx, s, log)
 	if err != nil {
 		return err
 	}
+	defer end()
 	log.Log.Info("serving", zap.String("name", s.Router.Name), zap.String("address", e.Addr()), zap.String("zone", s.Router.Zone))
 	context.AfterFunc(ctx, func() {
 		log.Log.Info("draining")
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -53,16 +53,28 @@
 // Read reads settings into the struct that v points to: one top-level form for
 // each of its fields. Every fault is reported, also those of Check where the
 // schema found none. What v held before is gone.
-func Read(file, src string, v any) error { return readInto(file, src, v, nil) }
+func Read(file, src string, v any) error { return readInto([]Source{{file, src}}, v, nil) }
 
-// readInto is Read, with something done to what the schema found good before it
-// is checked.
-func readInto(file, src string, v any, then func()) error {
-	forms, faults := read(file, src)
-	d := &decoder{faults: faults}
+// Source is a text of settings and the name that faults call it by.
+type Source struct{ File, Text string }
+
+// readInto is Read of several texts that are one, with something done to what
+// the schema found good before it is checked.
+func readInto(sources []Source, v any, then func()) error {
+	var forms []form
+	d := &decoder{}
+	for _, s := range sources {
+		f, faults := read(s.File, s.Text)
+		forms = append(forms, f...)
+		d.faults = append(d.faults, faults...)
+	}
 	top := reflect.ValueOf(v).Elem()
 	top.SetZero()
-	d.fill(top, forms, Pos{file, 1, 1}, "")
+	at := Pos{"", 1, 1}
+	if len(sources) > 0 {
+		at.File = sources[0].File
+	}
+	d.fill(top, forms, at, "")
 	if len(d.faults) == 0 {
 		if then != nil {
 			then()
--- a/internal/config/form.go
+++ b/internal/config/form.go
@@ -63,6 +63,9 @@
 	}
 	sort.SliceStable(f, func(i, j int) bool {
 		a, b := f[i].Pos, f[j].Pos
+		if a.File != b.File {
+			return a.File < b.File
+		}
 		return a.Line < b.Line || a.Line == b.Line && a.Col < b.Col
 	})
 	return f
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -191,11 +191,16 @@
 // waits reports whether the file alone is not meant to be served by.
 func (s *Settings) waits() bool { return s.anywhere || s.Follows() && s.Control.Start == "wait" }
 
-// ReadVersion reads the settings of a version. own, if given, is the file of the
+// ReadVersion reads the settings of a version from one text; see ReadSources.
+func ReadVersion(file, src string, own, s *Settings) error {
+	return ReadSources([]Source{{file, src}}, own, s)
+}
+
+// ReadSources reads the settings of a version from texts that are one. own, if given, is the file of the
 // router that is to run it: its part of (router ...) and (control ...) go before
 // the version's. Without it, only what holds at every router is checked.
-func ReadVersion(file, src string, own, s *Settings) error {
-	return readInto(file, src, s, func() {
+func ReadSources(sources []Source, own, s *Settings) error {
+	return readInto(sources, s, func() {
 		if own == nil {
 			s.anywhere = true
 			return
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -5,24 +5,17 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"strings"
 	"sync"
 	"time"
 
-	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
-	rpc "google.golang.org/genproto/googleapis/rpc/status"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
 
 	"indigospool/internal/fleet"
 	"indigospool/internal/lastgood"
 )
 
-type grpcListener = net.Listener
-
 // AgentConfig is what a router's agent is. Zero fields mean the defaults.
 type AgentConfig struct {
 	Router   string
@@ -34,6 +27,10 @@
 	Silent   time.Duration   // a stream that begins and says nothing is left after so long; default 30 s
 	Alive    time.Duration   // how often an open stream counts as a sign of life; default 5 s
 	Dial     []grpc.DialOption
+	Full     bool                  // state of the world, instead of what differs
+	MaxBytes int                   // of a message; default 32 MB
+	Report   time.Duration         // how often service is reported, at most
+	Tally    func() (Tally, error) // what is reported; nil: nothing
 
 	Use  func(fleet.Use)   // a version is to be run; called from the agent's goroutine
 	Warn func(text string) // for the operator
@@ -48,12 +45,21 @@
 
 	mu      sync.Mutex
 	machine *fleet.Machine
-	answer  func(*discovery.DiscoveryRequest) // on the present stream
-	nonces  map[int64]string                  // of versions offered on it
+	replies chan reply       // of the present stream; nil: there is none
+	nonces  map[int64]string // of versions offered on it
+	whole   bool             // the next stream asks for everything
+	state   string           // of the stream, for status
 	wake    *time.Timer
 	began   time.Time
 }
 
+// reply is an answer to a version, to be written to the stream.
+type reply struct {
+	nonce            string
+	number, accepted int64
+	reasons          []fleet.Reason
+}
+
 // StartAgent begins: the last good version first, then the services.
 func StartAgent(cfg AgentConfig) *Agent {
 	if cfg.Backoff <= 0 {
@@ -65,10 +71,13 @@
 	if cfg.Alive <= 0 {
 		cfg.Alive = 5 * time.Second
 	}
+	if cfg.MaxBytes <= 0 {
+		cfg.MaxBytes = 32 << 20
+	}
 	if cfg.Warn == nil {
 		cfg.Warn = func(string) {}
 	}
-	a := &Agent{cfg: cfg, machine: fleet.NewMachine(cfg.Fleet, cfg.Seed), began: time.Now()}
+	a := &Agent{cfg: cfg, machine: fleet.NewMachine(cfg.Fleet, cfg.Seed), began: time.Now(), state: "not connected"}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if cfg.Store != nil {
 		if r := cfg.Store.Restored(time.Now()); !errors.Is(r.Err, lastgood.ErrNone) {
@@ -98,6 +107,26 @@
 	return a.machine.Running(), a.machine.Records()
 }
 
+// AgentStatus is what an agent knows, for operators.
+type AgentStatus struct {
+	Running, Accepted int64
+	Service           string // in charge
+	Stream            string // state of the stream
+	Age               fleet.Millis
+	Versions          []fleet.Record
+}
+
+// Status tells what runs, who is in charge, how old the word on it is, and what
+// became of the last versions.
+func (a *Agent) Status() AgentStatus {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.machine
+	return AgentStatus{m.Running(), m.Floor(), m.Holder(), a.state, m.Age(a.now()), m.Records()}
+}
+
+func (a *Agent) now() fleet.Millis { return float64(time.Since(a.began).Microseconds()) / 1000 }
+
 // tell gives the machine an event and carries out its actions. Storing waits
 // for the disk, which is why the agent is not on the loop.
 func (a *Agent) tell(ev fleet.Event) {
@@ -106,7 +135,7 @@
 	queue := []fleet.Event{ev}
 	for len(queue) > 0 {
 		ev, queue = queue[0], queue[1:]
-		for _, act := range a.machine.Handle(float64(time.Since(a.began).Microseconds())/1000, ev, nil) {
+		for _, act := range a.machine.Handle(a.now(), ev, nil) {
 			switch act := act.(type) {
 			case fleet.Store:
 				var err error
@@ -132,23 +161,18 @@
 	}
 }
 
-// reply acknowledges a version on the present stream, or refuses it with every reason.
+// reply acknowledges a version on the present stream, or refuses it with every
+// reason. A service that takes no answers is left.
 func (a *Agent) reply(number int64, reasons []fleet.Reason) {
-	if a.answer == nil {
+	if a.replies == nil {
 		return
 	}
-	r := &discovery.DiscoveryRequest{TypeUrl: SettingsType, ResponseNonce: a.nonces[number]}
-	if len(reasons) == 0 {
-		r.VersionInfo = fmt.Sprint(number)
-	} else {
-		r.VersionInfo = fmt.Sprint(a.machine.Floor())
-		lines := make([]string, len(reasons))
-		for i, one := range reasons {
-			lines[i] = one.String()
-		}
-		r.ErrorDetail = &rpc.Status{Code: int32(codes.InvalidArgument), Message: strings.Join(lines, "\n")}
+	select {
+	case a.replies <- reply{a.nonces[number], number, a.machine.Floor(), reasons}:
+	default:
+		close(a.replies)
+		a.replies = nil
 	}
-	a.answer(r)
 }
 
 // run keeps a stream, with waits between tries that double, each by chance of
@@ -170,6 +194,10 @@
 			wait = a.cfg.Backoff
 			i-- // the one that spoke is called again first
 		}
+		a.mu.Lock()
+		a.whole = errors.Is(err, errMisfit)
+		a.state = fmt.Sprintf("lost %s: %v", address, err)
+		a.mu.Unlock()
 		a.cfg.Warn(fmt.Sprintf("stream of control service %s ended: %v", address, err))
 		select {
 		case <-time.After(time.Duration(float64(wait) * (0.5 + rng.Float64()))):
@@ -179,9 +207,28 @@
 	}
 }
 
+// open begins a stream by the protocol of the settings.
+func (a *Agent) open(ctx context.Context, conn *grpc.ClientConn) (line, error) {
+	c := discovery.NewAggregatedDiscoveryServiceClient(conn)
+	if a.cfg.Full {
+		g, err := c.StreamAggregatedResources(ctx)
+		return &sotwLine{g: g}, err
+	}
+	g, err := c.DeltaAggregatedResources(ctx)
+	l := &deltaLine{g: g}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if v := a.machine.Accepted(); v.Number > 0 && !a.whole {
+		l.has = split(v.Body)
+	}
+	return l, err
+}
+
+// follow follows one service until its stream ends, and says how many versions
+// came and from whom.
 func (a *Agent) follow(address string) (got int, service string, err error) {
 	conn, err := grpc.NewClient(address, append([]grpc.DialOption{
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(32 << 20)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(a.cfg.MaxBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 5 * time.Second}),
 	}, a.cfg.Dial...)...)
 	if err != nil {
@@ -192,39 +239,32 @@
 	defer cancel(nil)
 	silent := time.AfterFunc(a.cfg.Silent, func() { cancel(errors.New("the service said nothing")) })
 	defer silent.Stop()
-	s, err := discovery.NewAggregatedDiscoveryServiceClient(conn).StreamAggregatedResources(ctx)
+	l, err := a.open(ctx, conn)
 	if err != nil {
 		return 0, "", err
 	}
-	out := make(chan *discovery.DiscoveryRequest, 16)
+	replies := make(chan reply, 16)
 	a.mu.Lock()
-	running := a.machine.Floor()
-	a.nonces = map[int64]string{}
-	a.answer = func(r *discovery.DiscoveryRequest) {
-		select {
-		case out <- r:
-		default: // a service that takes no answers is left
-			cancel(errors.New("the service takes no answers"))
-		}
-	}
+	accepted := a.machine.Floor()
+	a.nonces, a.replies = map[int64]string{}, replies
 	a.mu.Unlock()
 	defer func() {
 		a.mu.Lock()
-		a.answer = nil
+		a.replies = nil
 		a.mu.Unlock()
 	}()
-	first := &discovery.DiscoveryRequest{Node: &core.Node{Id: a.cfg.Router}, TypeUrl: SettingsType}
-	if running > 0 {
-		first.VersionInfo = fmt.Sprint(running)
-	}
-	if err := s.Send(first); err != nil {
+	if err := l.hello(a.cfg.Router, accepted); err != nil {
 		return 0, "", err
 	}
 	go func() {
 		for {
 			select {
-			case r := <-out:
-				if err := s.Send(r); err != nil {
+			case r, open := <-replies:
+				err := errors.New("the service takes no answers")
+				if open {
+					err = l.reply(r.nonce, r.number, r.accepted, r.reasons)
+				}
+				if err != nil {
 					cancel(err)
 					return
 				}
@@ -234,7 +274,7 @@
 		}
 	}()
 	for {
-		r, err := s.Recv()
+		o, err := l.recv()
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
 				err = cause
@@ -243,31 +283,43 @@
 		}
 		silent.Stop()
 		if got++; service == "" {
-			if service = r.GetControlPlane().GetIdentifier(); service == "" {
+			if service = o.service; service == "" {
 				service = address
 			}
-			alive := time.NewTicker(a.cfg.Alive)
-			defer alive.Stop()
-			go func() { // as long as the connection answers pings, the service is heard of
-				for {
-					select {
-					case <-alive.C:
-						a.tell(fleet.Heard{Service: service})
-					case <-ctx.Done():
-						return
+			a.mu.Lock()
+			a.state = "following " + address
+			a.mu.Unlock()
+			go a.alive(ctx, service)
+			if a.cfg.Tally != nil {
+				go func() {
+					if err := a.report(ctx, conn); err != nil && ctx.Err() == nil {
+						a.cfg.Warn(fmt.Sprintf("service is not reported to %s: %v", address, err))
 					}
-				}
-			}()
+				}()
+			}
 		}
-		v, err := versionOf(r)
 		a.mu.Lock()
-		a.nonces[v.Number] = r.GetNonce()
-		if err != nil {
-			a.reply(v.Number, []fleet.Reason{{What: err.Error(), Remedy: "send one resource with number:sum"}})
+		a.nonces[o.version.Number] = o.nonce
+		if o.bad != nil {
+			a.reply(o.version.Number, []fleet.Reason{{What: o.bad.Error(), Remedy: "send resources of the type, with number:sum"}})
 		}
 		a.mu.Unlock()
-		if err == nil {
-			a.tell(fleet.Offered{Service: service, Version: v})
+		if o.bad == nil {
+			a.tell(fleet.Offered{Service: service, Version: o.version})
+		}
+	}
+}
+
+// alive counts an open stream as a sign of life: the connection answers pings.
+func (a *Agent) alive(ctx context.Context, service string) {
+	t := time.NewTicker(a.cfg.Alive)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			a.tell(fleet.Heard{Service: service})
+		case <-ctx.Done():
+			return
 		}
 	}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -5,23 +5,21 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
-	"strings"
+	"net"
 	"sync"
 	"time"
 
-	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	load "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"indigospool/internal/config"
 	"indigospool/internal/fleet"
 )
 
-func controlPlane(service string) *core.ControlPlane { return &core.ControlPlane{Identifier: service} }
-
 // Keeper keeps what a service must not forget. Save returns once it would
 // survive a crash.
 type Keeper interface {
@@ -37,11 +35,16 @@
 	PerSecond float64       // streams accepted a second; others wait; default 200
 	Streams   int           // at once; more are turned away; default 4000
 	Tick      time.Duration // default 250 ms
+	Reports   time.Duration // how often routers are to report service; default 10 s
+	Limits    fleet.CheckLimits
+	Sent      func(router string, v fleet.Version) // a version is about to be written to a stream; nil: nobody asks
+	Note      func(text string)                    // what happens, as it happens; nil: only Status tells
 }
 
 // Server is a control service.
 type Server struct {
 	discovery.UnimplementedAggregatedDiscoveryServiceServer
+	load.UnimplementedLoadReportingServiceServer
 	cfg  ServerConfig
 	grpc *grpc.Server
 	done chan struct{}
@@ -73,11 +76,15 @@
 	if cfg.Tick <= 0 {
 		cfg.Tick = 250 * time.Millisecond
 	}
+	if cfg.Reports <= 0 {
+		cfg.Reports = 10 * time.Second
+	}
 	opts = append([]grpc.ServerOption{grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 10 * time.Second})}, opts...)
 	s := &Server{cfg: cfg, grpc: grpc.NewServer(opts...), done: make(chan struct{}), streams: map[string]*stream{},
 		rollout: fleet.NewRollout(cfg.Rollout, cfg.State)}
 	discovery.RegisterAggregatedDiscoveryServiceServer(s.grpc, s)
+	load.RegisterLoadReportingServiceServer(s.grpc, s)
 	go func() {
 		t := time.NewTicker(cfg.Tick)
 		defer t.Stop()
@@ -94,9 +101,7 @@
 }
 
 // Serve serves until Stop.
-func (s *Server) Serve(ln grpcListener) error {
-	return s.grpc.Serve(ln)
-}
+func (s *Server) Serve(ln net.Listener) error { return s.grpc.Serve(ln) }
 
 // Stop ends the service and its streams at once.
 func (s *Server) Stop() {
@@ -139,6 +144,8 @@
 			}
 		case fleet.Halted:
 			s.note("version %d halted: %s", a.Number, a.Why)
+		case fleet.Ahead:
+			s.note("router %s has accepted version %d, which this service never gave; numbers go on from there", a.Router, a.Number)
 		case fleet.Staged:
 			s.note("version %d: stage %d, %d routers", a.Number, a.Stage+1, a.Routers)
 		case fleet.Finished:
@@ -148,16 +155,36 @@
 }
 
 func (s *Server) note(format string, a ...any) {
-	s.events = append(s.events, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, a...))
+	text := fmt.Sprintf(format, a...)
+	if s.cfg.Note != nil {
+		s.cfg.Note(text)
+	}
+	s.events = append(s.events, time.Now().UTC().Format("15:04:05.000 ")+text)
 	if len(s.events) > 100 {
 		s.events = s.events[len(s.events)-100:]
 	}
 }
 
-// Push begins the rollout of a body, and returns its number.
+// A Refused error says why a text was not made a version.
+type Refused struct{ Reasons []fleet.Reason }
+
+func (r *Refused) Error() string {
+	text := "control: not made a version"
+	for _, one := range r.Reasons {
+		text += "\n" + one.String()
+	}
+	return text
+}
+
+// Push begins the rollout of a body as it is, and returns its number. It makes
+// no checks but the routers'; see Offer.
 func (s *Server) Push(body []byte, force bool) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.pushLocked(body, force)
+}
+
+func (s *Server) pushLocked(body []byte, force bool) (int64, error) {
 	s.tellLocked(fleet.Push{Body: body, Force: force})
 	if s.broken != nil {
 		return 0, s.broken
@@ -166,6 +193,31 @@
 	return max(st.Next.Number, st.Base.Number), nil
 }
 
+// Offer checks settings, makes them canonical and begins their rollout. What
+// does not pass the checks is refused with every reason, a *Refused. The same
+// content as the newest version's is not pushed again: its number is returned.
+func (s *Server) Offer(sources []config.Source, force bool) (number int64, fresh bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.rollout.State()
+	newest := st.Base
+	if st.Next.Number > 0 {
+		newest = st.Next
+	}
+	body, reasons := Judge(sources, newest.Body, s.cfg.Limits)
+	if len(reasons) > 0 {
+		return 0, false, &Refused{reasons}
+	}
+	if newest.Number > 0 && newest.Sum == fleet.SumOf(body) && !(force && st.Next.Number > 0) {
+		return newest.Number, false, nil
+	}
+	number, err = s.pushLocked(body, force)
+	return number, err == nil, err
+}
+
+// Halt stops the rollout under way; the old content goes to all under a new number.
+func (s *Server) Halt(why string) { s.tell(fleet.Halt{Why: why}) }
+
 // Status is what a service knows.
 type Status struct {
 	Service string
@@ -204,106 +256,77 @@
 	}
 }
 
-// StreamAggregatedResources is a router's stream, state of the world.
+// StreamAggregatedResources is a router's stream by state of the world.
 func (s *Server) StreamAggregatedResources(g grpc.BidiStreamingServer[discovery.DiscoveryRequest, discovery.DiscoveryResponse]) error {
-	ctx, cancel := context.WithCancelCause(g.Context())
+	return s.stream(g.Context(), &sotwPeer{g: g})
+}
+
+// DeltaAggregatedResources is a router's stream by the incremental protocol.
+func (s *Server) DeltaAggregatedResources(g grpc.BidiStreamingServer[discovery.DeltaDiscoveryRequest, discovery.DeltaDiscoveryResponse]) error {
+	return s.stream(g.Context(), &deltaPeer{g: g})
+}
+
+// stream serves a router's stream, to its end.
+func (s *Server) stream(ctx context.Context, p peer) error {
+	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	first, err := g.Recv()
+	first, err := p.hello()
 	if err != nil {
 		return err
 	}
-	router := first.GetNode().GetId()
-	if router == "" {
-		return status.Error(codes.InvalidArgument, "control: the first request names no node id")
-	}
-	if first.GetTypeUrl() != SettingsType {
-		return status.Errorf(codes.InvalidArgument, "control: type %.80q is not served; %s is", first.GetTypeUrl(), SettingsType)
-	}
-	running, _, err := parseInfo(first.GetVersionInfo())
-	if err != nil {
-		return status.Error(codes.InvalidArgument, err.Error())
-	}
 	if err := s.pace(ctx); err != nil {
 		return err
 	}
-	st := &stream{router: router, send: make(chan fleet.Version, 1), stop: cancel}
+	st := &stream{router: first.router, send: make(chan fleet.Version, 1), stop: cancel}
 	s.mu.Lock()
-	if old := s.streams[router]; old != nil {
+	if old := s.streams[first.router]; old != nil {
 		old.stop(errors.New("control: the router has begun another stream"))
 	}
-	s.streams[router] = st
-	s.tellLocked(fleet.Joined{Router: router, Running: running})
+	s.streams[first.router] = st
+	s.tellLocked(fleet.Joined{Router: first.router, Running: first.running})
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
-		if s.streams[router] == st {
-			delete(s.streams, router)
-			s.tellLocked(fleet.Left{Router: router})
+		if s.streams[first.router] == st {
+			delete(s.streams, first.router)
+			s.tellLocked(fleet.Left{Router: first.router})
 		}
 		s.mu.Unlock()
 	}()
-	sent := make(chan error, 1)
-	var out sync.Mutex
-	nonces := map[string]int64{}
 	go func() {
-		for n := 1; ; n++ {
+		for {
 			select {
 			case v := <-st.send:
-				nonce := strconv.Itoa(n)
-				res, err := response(v, s.cfg.Name, nonce)
-				if err == nil {
-					out.Lock()
-					nonces[nonce] = v.Number
-					delete(nonces, strconv.Itoa(n-8))
-					out.Unlock()
-					err = g.Send(res)
+				if s.cfg.Sent != nil {
+					s.cfg.Sent(first.router, v)
 				}
-				if err != nil {
+				if err := p.send(v, s.cfg.Name); err != nil {
 					cancel(err)
-					sent <- err
 					return
 				}
 			case <-ctx.Done():
-				sent <- context.Cause(ctx)
 				return
 			}
 		}
 	}()
-	got := make(chan error, 1)
 	go func() {
 		for {
-			r, err := g.Recv()
-			if err != nil {
-				got <- err
+			a, known, err := p.recv()
+			switch {
+			case err != nil:
+				cancel(err)
 				return
-			}
-			out.Lock()
-			number, known := nonces[r.GetResponseNonce()]
-			out.Unlock()
-			if !known {
-				continue // of a response that was superseded, or none: xDS has such be ignored
-			}
-			if d := r.GetErrorDetail(); d != nil {
-				s.tell(fleet.Nacked{Router: router, Number: number, Reasons: strings.Split(d.GetMessage(), "\n")})
-			} else if running, _, err := parseInfo(r.GetVersionInfo()); err == nil {
-				s.tell(fleet.Acked{Router: router, Number: running})
+			case !known: // to a response that was superseded, or to none: xDS has such be ignored
+			case a.reasons != nil:
+				s.tell(fleet.Nacked{Router: first.router, Number: a.number, Reasons: a.reasons})
+			default:
+				s.tell(fleet.Acked{Router: first.router, Number: a.number})
 			}
 		}
 	}()
-	select {
-	case err = <-got:
-	case err = <-sent:
-	case <-ctx.Done():
-		err = context.Cause(ctx)
-	}
-	if err == io.EOF {
-		return nil
+	<-ctx.Done()
+	if err := context.Cause(ctx); err != io.EOF {
+		return err
 	}
-	return err
-}
-
-// Report tells the service how a router serves of late. Routers report by
-// whatever watches them; the share of requests in time counts.
-func (s *Server) Report(router string, served float64) {
-	s.tell(fleet.Report{Router: router, Served: served})
+	return nil
 }
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,375 @@
+package control
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"indigospool/internal/config"
+	"indigospool/internal/fleet"
+	"indigospool/internal/lastgood"
+)
+
+// Service is a control service as a program runs it.
+type Service struct {
+	*Server
+	set   *ServiceSettings
+	log   *zap.Logger
+	store *lastgood.Store
+	ln    net.Listener
+	admin net.Listener
+	http  *http.Server
+	done  chan struct{}
+	once  sync.Once
+	keep  *diskKeeper
+	last  string // what was last said of the folder, once each
+}
+
+// kept is a service's state as the store has it; the versions stand beside it.
+type kept struct {
+	ID     string `json:"id"`
+	Last   int64  `json:"last"`
+	Base   int64  `json:"base"`
+	Next   int64  `json:"next,omitempty"`
+	Stage  int    `json:"stage,omitempty"`
+	Halted string `json:"halted,omitempty"`
+	Folder string `json:"folder,omitempty"` // sum of what the folder held when it was last offered
+}
+
+// diskKeeper keeps a rollout's state in a store.
+type diskKeeper struct {
+	store *lastgood.Store
+	id    string
+
+	mu     sync.Mutex
+	folder string
+}
+
+// fromFolder reports whether a content of the folder was offered before: it is
+// offered once, also where its rollout was halted, or rolled back since.
+func (k *diskKeeper) fromFolder(sum string) (before bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before, k.folder = k.folder == sum, sum
+	return before
+}
+
+// Save implements Keeper.
+func (k *diskKeeper) Save(st fleet.RolloutState) error {
+	k.mu.Lock()
+	folder := k.folder
+	k.mu.Unlock()
+	text, err := json.Marshal(kept{k.id, st.Last, st.Base.Number, st.Next.Number, st.Stage, st.Halted, folder})
+	if err != nil {
+		return err
+	}
+	return k.store.Save(text, []fleet.Version{st.Base, st.Next}, time.Now())
+}
+
+// load is the state that was kept, and who the service is: the same over all its
+// restarts with this store, so that routers know it again.
+func (k *diskKeeper) load() (st fleet.RolloutState, err error) {
+	text, err := k.store.State()
+	if err != nil {
+		return st, err
+	}
+	if text == nil {
+		var id [4]byte
+		rand.Read(id[:])
+		k.id = hex.EncodeToString(id[:])
+		return st, k.Save(st)
+	}
+	var s kept
+	if err := json.Unmarshal(text, &s); err != nil {
+		return st, fmt.Errorf("control: the stored state: %w", err)
+	}
+	k.id, k.folder = s.ID, s.Folder
+	st = fleet.RolloutState{Last: s.Last, Stage: s.Stage, Halted: s.Halted}
+	for _, one := range []struct {
+		number int64
+		v      *fleet.Version
+	}{{s.Base, &st.Base}, {s.Next, &st.Next}} {
+		if one.number == 0 {
+			continue
+		}
+		if *one.v, _, err = k.store.Version(one.number); err != nil {
+			return st, fmt.Errorf("control: version %d of the stored state: %w", one.number, err)
+		}
+	}
+	return st, nil
+}
+
+// StartService begins a service from its store and listens. sent is as in
+// ServerConfig.
+func StartService(set *ServiceSettings, log *zap.Logger, sent func(router string, v fleet.Version)) (*Service, error) {
+	s := &Service{set: set, log: log, done: make(chan struct{})}
+	f := &set.Service
+	var err error
+	s.store, err = lastgood.OpenKeeping(f.Store, f.Keep)
+	var damaged *lastgood.DamagedError
+	if errors.As(err, &damaged) {
+		// numbers go on above what routers say that they have accepted
+		log.Error("the store was damaged; push the settings anew", zap.String("store", damaged.Path),
+			zap.String("set_aside", damaged.Aside), zap.Error(damaged.Err))
+	} else if err != nil {
+		return nil, err
+	}
+	keep := &diskKeeper{store: s.store}
+	state, err := keep.load()
+	if err != nil {
+		s.store.Close()
+		return nil, err
+	}
+	var opts []grpc.ServerOption
+	if f.Cert != "" {
+		keys := &Keys{Cert: f.Cert, Key: f.Key, Authorities: f.Roots, Warn: func(text string) { log.Warn(text) }}
+		if err := keys.Load(); err != nil {
+			s.store.Close()
+			return nil, err
+		}
+		opts = append(opts, grpc.Creds(keys.Server()))
+	}
+	s.keep = keep
+	s.Server = NewServer(ServerConfig{Name: f.Name + "/" + keep.id, Rollout: set.Rollout.settings(), State: state, Keep: keep,
+		PerSecond: f.PerSecond, Streams: f.Streams, Reports: time.Duration(f.Reports * float64(time.Millisecond)),
+		Limits: fleet.CheckLimits{ParentChurn: set.Checks.ParentChurn, BoxChurn: set.Checks.BoxChurn,
+			MaxSize: set.Checks.MaxSize, MaxLink: set.Checks.MaxLink},
+		Sent: sent, Note: func(text string) { log.Info(text) }}, opts...)
+	if err := s.listen(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	go s.Server.Serve(s.ln)
+	go s.http.Serve(s.admin)
+	if f.Folder != "" {
+		if err := watchFolder(f.Folder, s.done, s.lookAtFolder); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Service) listen() (err error) {
+	f := &s.set.Service
+	if s.ln, err = net.Listen("tcp", f.Listen); err != nil {
+		return fmt.Errorf("control: listen %s: %w; is the address free, and one of this machine?", f.Listen, err)
+	}
+	network := "tcp"
+	if strings.HasPrefix(f.Admin, "/") {
+		network = "unix"
+		if st, err := os.Stat(f.Admin); err == nil && st.Mode()&os.ModeSocket != 0 {
+			os.Remove(f.Admin) // of an earlier life
+		}
+	}
+	if s.admin, err = net.Listen(network, f.Admin); err != nil {
+		return fmt.Errorf("control: listener for operators %s: %w", f.Admin, err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /push", s.httpPush)
+	mux.HandleFunc("POST /rollback", s.httpRollback)
+	mux.HandleFunc("POST /halt", s.httpHalt)
+	mux.HandleFunc("GET /status", s.httpStatus)
+	mux.HandleFunc("GET /versions", s.httpVersions)
+	mux.HandleFunc("GET /version", s.httpVersion)
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	return nil
+}
+
+// Addr is where routers reach the service, AdminAddr where operators do.
+func (s *Service) Addr() string      { return s.ln.Addr().String() }
+func (s *Service) AdminAddr() string { return s.admin.Addr().String() }
+
+// Close ends the service.
+func (s *Service) Close() {
+	s.once.Do(func() {
+		close(s.done)
+		s.Server.Stop()
+		if s.http != nil {
+			s.http.Close()
+		}
+		for _, ln := range []net.Listener{s.ln, s.admin} {
+			if ln != nil {
+				ln.Close()
+			}
+		}
+		s.store.Close()
+	})
+}
+
+// lookAtFolder offers what the folder holds. It is called from one goroutine.
+func (s *Service) lookAtFolder() {
+	say := func(text string, level func(string, ...zap.Field)) {
+		if text != s.last {
+			level(text)
+		}
+		s.last = text
+	}
+	sources, err := ReadFolder(s.set.Service.Folder)
+	if err != nil {
+		say(err.Error(), s.log.Error)
+		return
+	}
+	var sum []byte
+	for _, one := range sources {
+		sum = append(append(sum, one.Text...), 0)
+	}
+	if s.keep.fromFolder(fleet.SumOf(sum)) {
+		return
+	}
+	number, fresh, err := s.Offer(sources, false)
+	switch {
+	case err != nil:
+		say(err.Error(), s.log.Error)
+	case fresh:
+		say(fmt.Sprintf("%s is version %d", s.set.Service.Folder, number), s.log.Info)
+	}
+}
+
+// PushResult is what became of a push.
+type PushResult struct {
+	Number  int64    `json:"number,omitempty"`
+	Fresh   bool     `json:"fresh"` // false: the newest version has that content already
+	Reasons []string `json:"reasons,omitempty"`
+	Error   string   `json:"error,omitempty"`
+}
+
+func answerJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+func pushed(w http.ResponseWriter, number int64, fresh bool, err error) {
+	var refused *Refused
+	switch {
+	case errors.As(err, &refused):
+		var lines []string
+		for _, r := range refused.Reasons {
+			lines = append(lines, r.String())
+		}
+		answerJSON(w, http.StatusUnprocessableEntity, PushResult{Reasons: lines})
+	case err != nil:
+		answerJSON(w, http.StatusServiceUnavailable, PushResult{Error: err.Error()})
+	default:
+		answerJSON(w, http.StatusOK, PushResult{Number: number, Fresh: fresh})
+	}
+}
+
+// httpPush takes a text of settings. ?now has it go to all routers at once,
+// ?unchecked has it go out though it does not pass the service's checks: the
+// routers make theirs. ?name is what faults call it by.
+func (s *Service) httpPush(w http.ResponseWriter, r *http.Request) {
+	limit := int64(s.set.Service.MaxBytes)
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		answerJSON(w, http.StatusRequestEntityTooLarge, PushResult{Error: fmt.Sprintf("%v; raise (service (max-bytes n))", err)})
+		return
+	}
+	q := r.URL.Query()
+	name := q.Get("name")
+	if name == "" {
+		name = "pushed"
+	}
+	if q.Has("unchecked") {
+		number, err := s.Push(b, q.Has("now"))
+		pushed(w, number, true, err)
+		return
+	}
+	number, fresh, err := s.Offer([]config.Source{{File: name, Text: string(b)}}, q.Has("now"))
+	pushed(w, number, fresh, err)
+}
+
+// httpRollback gives the content of an earlier version (?to) a new number.
+func (s *Service) httpRollback(w http.ResponseWriter, r *http.Request) {
+	to, err := strconv.ParseInt(r.URL.Query().Get("to"), 10, 64)
+	if err != nil {
+		answerJSON(w, http.StatusBadRequest, PushResult{Error: "rollback wants ?to=NUMBER"})
+		return
+	}
+	v, _, err := s.store.Version(to)
+	if err != nil {
+		answerJSON(w, http.StatusNotFound, PushResult{Error: fmt.Sprintf("version %d is not kept: %v", to, err)})
+		return
+	}
+	number, err := s.Push(v.Body, r.URL.Query().Has("now"))
+	pushed(w, number, true, err)
+}
+
+func (s *Service) httpHalt(w http.ResponseWriter, _ *http.Request) {
+	s.Halt("by hand")
+	st := s.Status()
+	answerJSON(w, http.StatusOK, PushResult{Number: st.State.Base.Number, Fresh: true})
+}
+
+// StatusView is Status without the versions' bodies.
+type StatusView struct {
+	Service string               `json:"service"`
+	Last    int64                `json:"last"`
+	Base    int64                `json:"base"`           // everybody's
+	Next    int64                `json:"next,omitempty"` // on its way
+	Stage   int                  `json:"stage,omitempty"`
+	Halted  string               `json:"halted,omitempty"` // why the last rollout was
+	Routers []fleet.RouterStatus `json:"routers"`
+	Events  []string             `json:"events"`
+}
+
+// View is what operators are shown.
+func (s *Service) View() StatusView {
+	st := s.Status()
+	return StatusView{st.Service, st.State.Last, st.State.Base.Number, st.State.Next.Number, st.State.Stage, st.State.Halted,
+		st.Routers, st.Events}
+}
+
+func (s *Service) httpStatus(w http.ResponseWriter, _ *http.Request) {
+	answerJSON(w, http.StatusOK, s.View())
+}
+
+// VersionView is a kept version.
+type VersionView struct {
+	Number int64   `json:"number"`
+	Sum    string  `json:"sum"`
+	Bytes  int     `json:"bytes"`
+	AgeMs  float64 `json:"age_ms"`
+}
+
+func (s *Service) httpVersions(w http.ResponseWriter, _ *http.Request) {
+	list, err := s.store.History(time.Now())
+	if err != nil {
+		answerJSON(w, http.StatusServiceUnavailable, PushResult{Error: err.Error()})
+		return
+	}
+	out := []VersionView{}
+	for _, a := range list {
+		out = append(out, VersionView{a.Version.Number, a.Version.Sum, len(a.Version.Body), a.Age})
+	}
+	answerJSON(w, http.StatusOK, out)
+}
+
+func (s *Service) httpVersion(w http.ResponseWriter, r *http.Request) {
+	number, err := strconv.ParseInt(r.URL.Query().Get("number"), 10, 64)
+	if err != nil {
+		http.Error(w, "version wants ?number=N", http.StatusBadRequest)
+		return
+	}
+	v, _, err := s.store.Version(number)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("version %d is not kept: %v", number, err), http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Write(v.Body)
+}
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"fmt"
+	"net"
+	"strings"
+
+	"indigospool/internal/config"
+	"indigospool/internal/fleet"
+)
+
+// ServiceSettings is the settings file of a control service. Spans are in ms.
+type ServiceSettings struct {
+	Service ServiceForm `edn:"service,required"`
+	Rollout RolloutForm `edn:"rollout"`
+	Checks  ChecksForm  `edn:"checks"`
+}
+
+// ServiceForm is what the service is.
+type ServiceForm struct {
+	Place     config.Place
+	Name      string  `edn:"name" def:"control"`
+	Listen    string  `edn:"listen" def:"127.0.0.1:9900"` // for routers
+	Admin     string  `edn:"admin" def:"127.0.0.1:9901"`  // for operators: a loopback address, or the path of a Unix socket
+	Store     string  `edn:"store,required"`              // file of its state
+	Folder    string  `edn:"folder"`                      // of settings, *.edn; what changes there is offered; empty: only what is pushed
+	Keep      int     `edn:"keep" def:"64" min:"2" max:"900"`
+	Streams   int     `edn:"streams" def:"4000" min:"1"`
+	PerSecond float64 `edn:"per-second" def:"200" min:"0.1"` // streams that may begin; others wait or come back
+	Reports   float64 `edn:"reports" def:"10000" min:"100"`  // how often routers report service
+	MaxBytes  int     `edn:"max-bytes" def:"16777216" min:"1024"`
+	Cert      string  `edn:"cert"`
+	Key       string  `edn:"key"`
+	Roots     string  `edn:"authorities"`
+	Log       string  `edn:"log" def:"stderr"` // stderr, stdout, none or a file
+}
+
+// RolloutForm is fleet.RolloutSettings.
+type RolloutForm struct {
+	Stages   []float64 `edn:"stages" min:"0" max:"1"` // default 0 0.1 1: one router, a tenth, all
+	Hold     float64   `edn:"hold" def:"30000" min:"0"`
+	Patience float64   `edn:"patience" def:"120000" min:"1"`
+	Refused  float64   `edn:"refused" min:"0" max:"1"`
+	Silent   float64   `edn:"silent" def:"0.05" min:"0" max:"1"`
+	Fall     float64   `edn:"fall" def:"0.05" min:"0.001" max:"1"`
+	Asked    float64   `edn:"asked" def:"200" min:"1"`
+}
+
+// ChecksForm is fleet.CheckLimits.
+type ChecksForm struct {
+	ParentChurn float64 `edn:"parent-churn" def:"0.5" min:"0.01" max:"1"`
+	BoxChurn    float64 `edn:"box-churn" def:"0.67" min:"0.01" max:"1"`
+	MaxSize     float64 `edn:"max-size" def:"1000000" min:"1"`
+	MaxLink     float64 `edn:"max-link" def:"1000000" min:"1"`
+}
+
+// Check tells what contradicts itself.
+func (s *ServiceSettings) Check(f *config.Faults) {
+	add := func(p config.Pos, key, what, remedy string) {
+		*f = append(*f, config.Fault{Pos: p, Key: key, What: what, Remedy: remedy})
+	}
+	v := &s.Service
+	host, _, err := net.SplitHostPort(v.Listen)
+	if err != nil {
+		add(v.Place.Of("listen"), "service/listen", fmt.Sprintf("%q is no address", v.Listen), "write host:port")
+	} else if v.Cert == "" && !loopback(host) {
+		add(v.Place.Of("listen"), "service/listen", fmt.Sprintf("%q is not a loopback address, and there is no certificate", v.Listen),
+			"give (cert FILE) (key FILE) (authorities FILE): versions say where requests go")
+	}
+	if !strings.HasPrefix(v.Admin, "/") {
+		if host, _, err := net.SplitHostPort(v.Admin); err != nil || !loopback(host) {
+			add(v.Place.Of("admin"), "service/admin", fmt.Sprintf("%q is not a loopback address", v.Admin),
+				"the listener for operators has no password: bind it to 127.0.0.1 or to a Unix socket")
+		}
+	}
+	if n := len(v.Cert) * len(v.Key) * len(v.Roots); n == 0 && v.Cert+v.Key+v.Roots != "" {
+		add(v.Place.Pos, "service/cert", "cert, key and authorities are not all given", "give all three, or none")
+	}
+	for i := 1; i < len(s.Rollout.Stages); i++ {
+		if s.Rollout.Stages[i] <= s.Rollout.Stages[i-1] {
+			add(v.Place.Pos, "rollout/stages", fmt.Sprintf("%v does not rise", s.Rollout.Stages), "give rising shares, the last 1")
+		}
+	}
+	if n := len(s.Rollout.Stages); n > 0 && s.Rollout.Stages[n-1] != 1 {
+		add(v.Place.Pos, "rollout/stages", fmt.Sprintf("the last of %v is not 1", s.Rollout.Stages), "end with 1: all routers")
+	}
+}
+
+func loopback(host string) bool {
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
+
+func (r RolloutForm) settings() fleet.RolloutSettings {
+	return fleet.RolloutSettings{Stages: r.Stages, Hold: r.Hold, Patience: r.Patience, Refused: r.Refused, Silent: r.Silent,
+		Fall: r.Fall, Asked: r.Asked}
+}
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -12,6 +12,7 @@
 	"time"
 
 	spool "indigospool"
+	"indigospool/internal/control"
 	"indigospool/internal/core"
 )
 
@@ -70,12 +71,34 @@
 	out := map[string]any{}
 	err := e.Query(func(s *Stats, c *core.Core) {
 		out["name"], out["stats"], out["list_rev"], out["lag_ms"] = e.name, *s, c.Rev(), e.l.Lag()
+		out["version"] = e.version
 		out["draining"], out["timers"] = e.draining, e.l.Timers()
 	})
+	if e.versions != nil {
+		out["versions"] = versionsView(e.versions.agent.Status())
+	}
 	out["list"], out["log_dropped"] = e.listState.Load(), strconv.FormatUint(e.log.Dropped(), 10)
 	reply(w, err, out)
 }
 
+// versionsView is what is known of versions, as /state has it.
+func versionsView(st control.AgentStatus) map[string]any {
+	list := []map[string]any{}
+	for _, r := range st.Versions {
+		one := map[string]any{"number": r.Number, "state": r.State.String(), "service": r.Service}
+		if len(r.Reasons) > 0 {
+			lines := []string{}
+			for _, why := range r.Reasons {
+				lines = append(lines, why.String())
+			}
+			one["reasons"] = lines
+		}
+		list = append(list, one)
+	}
+	return map[string]any{"running": st.Running, "accepted": st.Accepted, "service": st.Service, "stream": st.Stream,
+		"unconfirmed_ms": st.Age, "list": list}
+}
+
 func (e *Edge) adminMembers(w http.ResponseWriter, _ *http.Request) {
 	type row struct {
 		ID, Zone, Kind, State, Address string
--- /dev/null
+++ b/internal/edge/versions.go
@@ -0,0 +1,211 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"indigospool/internal/config"
+	"indigospool/internal/control"
+	"indigospool/internal/core"
+	"indigospool/internal/fleet"
+	"indigospool/internal/lastgood"
+	"indigospool/internal/loop"
+)
+
+// Versions follows control services for a router, on goroutines of its own, and
+// posts each version that is to be run to the router's loop. Which one that is,
+// internal/fleet decides.
+type Versions struct {
+	own   *config.Settings
+	log   *AccessLog
+	store *lastgood.Store
+	agent *control.Agent
+	uses  chan fleet.Use // in order; the newest is never dropped
+	done  chan struct{}
+	edge  chan *Edge
+}
+
+// Follow begins: with the stored version where there is one, then with the
+// services that the router's own settings name.
+func Follow(own *config.Settings, log *AccessLog) (*Versions, error) {
+	c := &own.Control
+	v := &Versions{own: own, log: log, uses: make(chan fleet.Use, 64), done: make(chan struct{}), edge: make(chan *Edge, 1)}
+	dial := grpc.WithTransportCredentials(insecure.NewCredentials())
+	if c.Cert != "" {
+		keys := &control.Keys{Cert: c.Cert, Key: c.Key, Authorities: c.Roots, Warn: func(text string) { log.Log.Warn(text) }}
+		if err := keys.Load(); err != nil {
+			return nil, err
+		}
+		dial = grpc.WithTransportCredentials(keys.Client(c.Name))
+	}
+	if c.Store != "" {
+		var err error
+		if v.store, err = lastgood.Open(c.Store); v.store == nil {
+			return nil, err
+		} else if err != nil {
+			log.Log.Error("the store of versions was damaged", zap.Error(err))
+		}
+	}
+	cfg := control.AgentConfig{Router: own.Router.Name, Services: c.Services, Seed: uint64(own.Router.Seed), Store: v.store,
+		Backoff: span(c.Backoff), Full: c.Protocol == "full", MaxBytes: 2 * c.MaxBytes, Report: span(c.Report),
+		Dial:  []grpc.DialOption{dial},
+		Fleet: fleet.Settings{Own: own, MaxBytes: c.MaxBytes, Spread: c.Spread, Lease: c.Lease, Old: c.Old, Stale: c.Stale},
+		Use:   v.use, Warn: func(text string) { log.Log.Warn(text) }}
+	if c.Report > 0 {
+		cfg.Tally = v.tally
+	}
+	v.agent = control.StartAgent(cfg)
+	return v, nil
+}
+
+// Open makes a router as its settings say: by the file alone, or by versions from
+// control services. end is called when the router has ended.
+func Open(ctx context.Context, s *config.Settings, log *AccessLog) (e *Edge, end func(), err error) {
+	if !s.Follows() {
+		e, err = New(s, log)
+		return e, func() {}, err
+	}
+	v, err := Follow(s, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	u, err := v.First(ctx)
+	switch {
+	case err != nil:
+	case u == nil:
+		e, err = New(s, log)
+	default:
+		e, err = NewFrom(u, log)
+	}
+	if err != nil {
+		v.Close()
+		return nil, nil, err
+	}
+	v.Attach(e)
+	return e, v.Close, nil
+}
+
+func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// use queues a version that is to be run. It never waits: of versions that the
+// loop has not come to yet, the oldest gives way.
+func (v *Versions) use(u fleet.Use) {
+	for {
+		select {
+		case v.uses <- u:
+			return
+		default:
+		}
+		select {
+		case <-v.uses:
+		default:
+		}
+	}
+}
+
+// First is the version to begin with: the stored one or, where the settings say
+// wait, the first that a service sends. nil: begin by the file.
+func (v *Versions) First(ctx context.Context) (*fleet.Use, error) {
+	select {
+	case u := <-v.uses:
+		return &u, nil
+	default:
+	}
+	if v.own.Control.Start != "wait" {
+		return nil, nil
+	}
+	v.log.Log.Info("waiting for the first version", zap.Strings("services", v.own.Control.Services))
+	select {
+	case u := <-v.uses:
+		return &u, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("edge: no version came before the end: %w", ctx.Err())
+	}
+}
+
+// Attach has a router run the versions that come from now on.
+func (v *Versions) Attach(e *Edge) {
+	e.versions = v
+	v.edge <- e
+	go func() {
+		for {
+			select {
+			case u := <-v.uses:
+				for e.l.Post(func() { e.use(u) }) == loop.ErrFull {
+					time.Sleep(time.Millisecond)
+				}
+			case <-v.done:
+				return
+			}
+		}
+	}()
+}
+
+// Close ends the following; the store keeps what it has.
+func (v *Versions) Close() {
+	v.agent.Close()
+	close(v.done)
+	if v.store != nil {
+		v.store.Close()
+	}
+}
+
+// tally counts requests that have ended, for reports.
+func (v *Versions) tally() (t control.Tally, err error) {
+	e := <-v.edge // once a router is attached, it is there for all
+	v.edge <- e
+	err = e.Query(func(s *Stats, _ *core.Core) {
+		t.Served, t.Asked = s.Served, s.Served+s.Refused+s.Failed+s.Broken
+	})
+	return t, err
+}
+
+// use goes by a version from now on, on the loop: drains first, so that nothing
+// new goes to who leaves; then the settings; then the members that come.
+func (e *Edge) use(u fleet.Use) {
+	var steps []fleet.Step
+	if e.s.Router.List == "" { // else the list service's word counts
+		steps = fleet.Diff(e.s.Members, u.Settings.Members)
+	}
+	tell := func(s fleet.Step) { e.news(core.FromStep(u.Version.Number, s.Members, s.What == "starts")) }
+	if len(steps) > 0 && steps[0].What == "drains" {
+		tell(steps[0])
+		steps = steps[1:]
+	}
+	acts, err := e.core.Resettle(e.l.Now(), u.Settings, nil)
+	if err != nil { // the checks let through what the module does not take
+		e.log.Log.Error("version not run", zap.Int64("version", u.Version.Number), zap.Error(err))
+		return
+	}
+	for i := range acts {
+		e.carryOut(acts[i])
+	}
+	e.s = u.Settings
+	for _, s := range steps {
+		tell(s)
+	}
+	e.version = u.Version.Number
+	e.log.Log.Info("version in use", zap.Int64("version", u.Version.Number), zap.Int("steps", len(steps)),
+		zap.Bool("stale", u.Stale))
+}
+
+// begin is the news of members that a router begins with: those of its settings,
+// and for how long the young ones of them have been listed.
+func (e *Edge) begin() {
+	if len(e.s.Members) == 0 || e.s.Router.List != "" {
+		return
+	}
+	n := core.FromSettings(e.s)
+	n.Rev = e.version
+	for i := range n.Members {
+		if up, young := e.young[n.Members[i].ID]; young {
+			n.Members[i].UpMs = max(up, 0.001)
+		}
+	}
+	e.news(n)
+}
--- a/internal/edge/watch.go
+++ b/internal/edge/watch.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"indigospool/internal/config"
 	"indigospool/internal/core"
 	"indigospool/internal/loop"
 )
@@ -24,17 +25,18 @@
 func (e *Edge) watch() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	rng := rand.New(rand.NewPCG(uint64(e.s.Router.Seed), uint64(e.s.Router.Me)+1))
+	s := e.s // those of the start: the loop may go by others later
+	rng := rand.New(rand.NewPCG(uint64(s.Router.Seed), uint64(s.Router.Me)+1))
 	go func() {
 		defer close(done)
-		wait := e.s.Limits.ListBackoff
+		wait := s.Limits.ListBackoff
 		for ctx.Err() == nil {
-			lines, err := e.follow(ctx)
+			lines, err := e.follow(ctx, s)
 			if ctx.Err() != nil {
 				return
 			}
 			if lines > 0 {
-				wait = e.s.Limits.ListBackoff
+				wait = s.Limits.ListBackoff
 			}
 			e.listState.Store("lost: " + err.Error())
 			e.log.Log.Warn("list stream ended", zap.Error(err), zap.Int("lines", lines))
@@ -42,7 +44,7 @@
 			case <-time.After(time.Duration(wait * (0.5 + rng.Float64()) * float64(time.Millisecond))):
 			case <-ctx.Done():
 			}
-			wait = min(2*wait, 32*e.s.Limits.ListBackoff)
+			wait = min(2*wait, 32*s.Limits.ListBackoff)
 		}
 	}()
 	return func() { cancel(); <-done }
@@ -54,10 +56,10 @@
 // errGap asks for a stream anew: it begins with a full list.
 var errGap = errors.New("a version is missing")
 
-func (e *Edge) follow(ctx context.Context) (lines int, err error) {
+func (e *Edge) follow(ctx context.Context, s *config.Settings) (lines int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	u := url.URL{Scheme: "http", Host: e.s.Router.List, Path: "/watch", RawQuery: "router=" + url.QueryEscape(e.name)}
+	u := url.URL{Scheme: "http", Host: s.Router.List, Path: "/watch", RawQuery: "router=" + url.QueryEscape(e.name)}
 	req, err := http.NewRequestWithContext(ctx, "GET", u.String(), nil)
 	if err != nil {
 		return 0, err
@@ -75,7 +77,7 @@
 	e.listState.Store("following")
 	br := bufio.NewReaderSize(res.Body, 64<<10)
 	for {
-		line, err := readLine(br, e.s.Limits.ListLine)
+		line, err := readLine(br, s.Limits.ListLine)
 		if err != nil {
 			return lines, err
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -255,6 +255,22 @@
 // Floor is the highest number that was ever accepted.
 func (m *Machine) Floor() int64 { return m.floor }
 
+// Accepted is the version with that number, as far as it is held.
+func (m *Machine) Accepted() Version {
+	if m.next != nil && m.next.accepted {
+		return m.next.v
+	}
+	return m.current
+}
+
+// Age is how long ago the running version was last known to be the newest.
+func (m *Machine) Age(now Millis) Millis {
+	if m.current.Number == 0 {
+		return 0
+	}
+	return max(now-m.since, 0)
+}
+
 // Holder is the service that is in charge, or "".
 func (m *Machine) Holder() string { return m.holder }
 
@@ -364,6 +380,11 @@
 		}
 		since = ev.Before[i].Age
 	}
+	for k := range now {
+		if k.n > 1 { // it has started anew some time: at the latest when the oldest was stored
+			out[k.id] = since
+		}
+	}
 	return out
 }
 
--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -16,7 +16,7 @@
 	Refused  float64   // halted when more than this share of a stage's routers refuse; default 0: any
 	Silent   float64   // share of a stage's routers that may stay without an answer; default 0.05
 	Fall     float64   // halted when service at its routers falls by more than this against the others; default 0.05
-	Reports  int       // reports of service that a comparison needs on either side; default 1
+	Asked    float64   // requests that such a comparison needs on either side, before and since; default 200
 }
 
 func (s RolloutSettings) filled() RolloutSettings {
@@ -35,8 +35,8 @@
 	if s.Fall <= 0 {
 		s.Fall = 0.05
 	}
-	if s.Reports <= 0 {
-		s.Reports = 1
+	if s.Asked <= 0 {
+		s.Asked = 200
 	}
 	return s
 }
@@ -66,11 +66,14 @@
 		Number  int64
 		Reasons []string
 	}
-	// Report is the share of its requests that a router has served in time of late.
+	// Report is how many requests a router had since its last report, and how
+	// many of them it served in time.
 	Report struct {
-		Router string
-		Served float64
+		Router        string
+		Served, Asked float64
 	}
+	// Halt stops the rollout under way by hand, if there is one.
+	Halt struct{ Why string }
 	// Pass is time passing.
 	Pass struct{}
 )
@@ -94,6 +97,12 @@
 		Stage   int
 		Routers int
 	}
+	// Ahead says that a router has accepted a number that this service never
+	// gave, as after a state was lost: later numbers are above it.
+	Ahead struct {
+		Router string
+		Number int64
+	}
 	// Finished says that a version is everybody's.
 	Finished struct{ Number int64 }
 	// Keep asks for the state to be put on disk before any Offer after it is sent.
@@ -116,10 +125,22 @@
 	running int64 // last accepted
 	refused int64
 	reasons []string
-	served  float64
-	reports int // since the present rollout began
+	before  tally // of service, of late, when the present rollout began
+	since   tally // since then
 }
 
+// tally counts requests, and those that were served in time.
+type tally struct{ served, asked float64 }
+
+func (t tally) share() float64 { return t.served / max(t.asked, 1) }
+
+func (t *tally) add(o tally) { t.served, t.asked = t.served+o.served, t.asked+o.asked }
+
+// fade makes what was counted before weigh less than what comes.
+func (t *tally) fade(keep float64) { t.served, t.asked = t.served*keep, t.asked*keep }
+
+const keepOfBefore = 0.9 // a report: service of late is that of about the last ten
+
 // Rollout brings versions to routers in stages, and stops by itself. Like the
 // Machine it does no I/O, and is not safe for concurrent use.
 type Rollout struct {
@@ -130,11 +151,14 @@
 	began   Millis // of the stage
 	routers map[string]*seat
 	out     []any
+
+	limit  float64 // routers whose place is at most this are in the stage; NaN: to be found anew
+	places map[string]float64
 }
 
 // NewRollout goes on from a state; the zero state is a new service's.
 func NewRollout(s RolloutSettings, st RolloutState) *Rollout {
-	return &Rollout{set: s.filled(), st: st, routers: map[string]*seat{}}
+	return &Rollout{set: s.filled(), st: st, routers: map[string]*seat{}, limit: math.NaN(), places: map[string]float64{}}
 }
 
 // State is what must not be forgotten.
@@ -147,14 +171,18 @@
 	Running int64
 	Refused int64
 	Reasons []string
-	Served  float64
+	Served  float64 // share of its requests of late that were served in time; -1: not told
 }
 
 // Status lists the routers by name.
 func (r *Rollout) Status() []RouterStatus {
 	var out []RouterStatus
 	for id, s := range r.routers {
-		out = append(out, RouterStatus{id, s.joined, s.running, s.refused, s.reasons, s.served})
+		served, all := -1.0, s.before
+		if all.add(s.since); all.asked > 0 {
+			served = all.share()
+		}
+		out = append(out, RouterStatus{id, s.joined, s.running, s.refused, s.reasons, served})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Router < out[j].Router })
 	return out
@@ -166,12 +194,23 @@
 	switch ev := ev.(type) {
 	case Push:
 		r.push(ev)
+	case Halt:
+		if r.st.Next.Number > 0 {
+			r.halt(ev.Why)
+		}
 	case Joined:
 		s := r.seat(ev.Router)
 		s.joined, s.offered, s.running = true, 0, max(ev.Running, s.running)
+		r.limit = math.NaN()
+		if ev.Running > r.st.Last {
+			r.st.Last = ev.Running
+			r.do(Ahead{ev.Router, ev.Running})
+			r.do(Keep{r.st})
+		}
 		r.offer(ev.Router)
 	case Left:
 		r.seat(ev.Router).joined = false
+		r.limit = math.NaN()
 	case Acked:
 		s := r.seat(ev.Router)
 		s.running = max(s.running, ev.Number)
@@ -185,9 +224,13 @@
 		s := r.seat(ev.Router)
 		s.refused, s.reasons = ev.Number, ev.Reasons
 	case Report:
-		s := r.seat(ev.Router)
-		s.served = ev.Served
-		s.reports++
+		s, t := r.seat(ev.Router), tally{max(ev.Served, 0), max(ev.Asked, 0)}
+		if r.st.Next.Number > 0 {
+			s.since.add(t)
+		} else {
+			s.before.fade(keepOfBefore)
+			s.before.add(t)
+		}
 	}
 	r.judge()
 	dst, r.out = r.out, nil
@@ -219,16 +262,23 @@
 		return
 	}
 	r.st.Next = v
+	r.places = map[string]float64{}
+	r.compare()
 	r.begin(0)
 }
 
+// compare has service counted anew: what was counted is of before.
+func (r *Rollout) compare() {
+	for _, s := range r.routers {
+		s.before.add(s.since)
+		s.since = tally{}
+	}
+}
+
 // begin begins a stage.
 func (r *Rollout) begin(stage int) {
 	r.st.Stage = stage
-	r.since, r.began = r.now, r.now
-	for _, s := range r.routers {
-		s.reports = 0
-	}
+	r.since, r.began, r.limit = r.now, r.now, math.NaN()
 	r.do(Keep{r.st})
 	r.do(Staged{r.st.Next.Number, stage, len(r.inStage())})
 	r.offerAll()
@@ -262,34 +312,41 @@
 // place is where a router stands in the order of a version's stages, from 0 to
 // 1: another for each version, so that not always the same go first.
 func (r *Rollout) place(id string) float64 {
+	if p, ok := r.places[id]; ok {
+		return p
+	}
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%d/%s", r.st.Next.Number, id)
 	x := h.Sum64()
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
+	p := float64(x>>11) / (1 << 53)
+	r.places[id] = p
+	return p
 }
 
-// included reports whether a router is in the present stage, or in one before.
+// included reports whether a router is in the present stage, or in one before:
+// the stage's share of the routers with a stream, those that stand first.
 func (r *Rollout) included(id string) bool {
 	share := r.set.Stages[min(r.st.Stage, len(r.set.Stages)-1)]
 	if share >= 1 {
 		return true
 	}
-	ahead := 0
-	mine := r.place(id)
-	known := 0
-	for other, s := range r.routers {
-		if !s.joined && other != id {
-			continue
+	if math.IsNaN(r.limit) {
+		var all []float64
+		for other, s := range r.routers {
+			if s.joined {
+				all = append(all, r.place(other))
+			}
 		}
-		known++
-		if p := r.place(other); p < mine || p == mine && other < id {
-			ahead++
+		sort.Float64s(all)
+		r.limit = -1
+		if n := max(int(math.Ceil(share*float64(len(all)))), 1); n <= len(all) {
+			r.limit = all[n-1]
 		}
 	}
-	return ahead < max(int(math.Ceil(share*float64(known))), 1)
+	return r.place(id) <= r.limit
 }
 
 // inStage are the routers with a stream that are in the present stage.
@@ -342,44 +399,58 @@
 			return
 		}
 		r.st.Base, r.st.Next, r.st.Stage = r.st.Next, Version{}, 0
+		r.compare()
 		r.do(Keep{r.st})
 		r.do(Finished{n})
 	}
 }
 
-// fell halts a rollout when those who run the version serve worse than those
-// who don't.
+// fell halts a rollout when service at those who run the version has fallen
+// against what it was before by more than it has at those who don't: zones
+// differ, and what befalls all of them is not the version's doing.
 func (r *Rollout) fell(ids []string, n int64) bool {
 	in := map[string]bool{}
 	for _, id := range ids {
 		in[id] = true
 	}
-	var mine, others float64
-	var a, b int
+	var mine, others change
 	for id, s := range r.routers {
 		switch {
-		case !s.joined || s.reports < r.set.Reports:
+		case !s.joined || s.before.asked == 0 || s.since.asked == 0:
 		case in[id] && s.running >= n:
-			mine, a = mine+s.served, a+1
+			mine.add(s)
 		case !in[id]:
-			others, b = others+s.served, b+1
+			others.add(s)
 		}
 	}
-	if a == 0 || b == 0 {
+	if min(mine.asked, mine.askedBefore, others.asked, others.askedBefore) < r.set.Asked {
 		return false
 	}
-	mine, others = mine/float64(a), others/float64(b)
-	if others-mine <= r.set.Fall {
+	if mine.fall()-max(others.fall(), 0) <= r.set.Fall {
 		return false
 	}
-	r.halt(fmt.Sprintf("%d routers that run it serve %.1f %% in time, the other %d %.1f %%", a, 100*mine, b, 100*others))
+	r.halt(fmt.Sprintf("service in time at routers that run it is %.1f points of a hundred less than before, at the others %.1f",
+		100*mine.fall(), 100*others.fall()))
 	return true
 }
 
+// change is how service has changed at several routers: each one's own change
+// counts by its requests since.
+type change struct{ sum, asked, askedBefore float64 }
+
+func (c *change) add(s *seat) {
+	c.sum += (s.before.share() - s.since.share()) * s.since.asked
+	c.asked += s.since.asked
+	c.askedBefore += s.before.asked
+}
+
+func (c *change) fall() float64 { return c.sum / max(c.asked, 1) }
+
 // halt stops a rollout: the old content is offered to all under a new number,
 // since a router never takes a lower one.
 func (r *Rollout) halt(why string) {
 	number := r.st.Next.Number
+	r.compare()
 	r.st.Last++
 	r.st.Base, r.st.Next, r.st.Stage, r.st.Halted = New(r.st.Last, r.st.Base.Body), Version{}, 0, why
 	r.do(Halted{number, why})
