--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"path/filepath"
 	"strings"
@@ -11,9 +13,13 @@
 	"testing"
 	"time"
 
+	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/stats"
+	"pgregory.net/rapid"
 
+	"indigospool/internal/config"
 	"indigospool/internal/fleet"
 	"indigospool/internal/lastgood"
 )
@@ -27,6 +33,15 @@
 	return []byte(b.String())
 }
 
+// canonical is the same as a service makes it of what is offered.
+func canonical(t testing.TB, boxes int, extra string) []byte {
+	b, reasons := Judge([]config.Source{{File: "test", Text: string(body(boxes, extra))}}, nil, NoLimits)
+	if len(reasons) > 0 {
+		t.Fatal(reasons)
+	}
+	return b
+}
+
 // memory keeps a service's state over its restarts.
 type memory struct {
 	mu    sync.Mutex
@@ -62,6 +77,12 @@
 	return s, ln.Addr().String()
 }
 
+// both runs a test by both protocols.
+func both(t *testing.T, f func(t *testing.T, full bool)) {
+	t.Run("full", func(t *testing.T) { f(t, true) })
+	t.Run("delta", func(t *testing.T) { f(t, false) })
+}
+
 type router struct {
 	*Agent
 	uses atomic.Int64
@@ -69,9 +90,9 @@
 	said []string
 }
 
-func follow(t testing.TB, name string, seed uint64, store *lastgood.Store, services ...string) *router {
+func follow(t testing.TB, full bool, name string, seed uint64, store *lastgood.Store, services ...string) *router {
 	r := &router{}
-	r.Agent = StartAgent(AgentConfig{Router: name, Services: services, Seed: seed, Store: store, Backoff: 20 * time.Millisecond,
+	r.Agent = StartAgent(AgentConfig{Router: name, Services: services, Seed: seed, Store: store, Full: full, Backoff: 20 * time.Millisecond,
 		Fleet: fleet.Settings{Spread: 50}, Dial: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
 		Use:  func(fleet.Use) { r.uses.Add(1) },
 		Warn: func(s string) { r.mu.Lock(); r.said = append(r.said, s); r.mu.Unlock() }})
@@ -103,133 +124,324 @@
 
 // Good, bad and repeated versions; then the service stops, and comes back.
 func TestVersionsOverTheStream(t *testing.T) {
-	m := &memory{}
-	s, addr := serve(t, "127.0.0.1:0", m, 100)
-	var routers []*router
-	for i := range 8 {
-		routers = append(routers, follow(t, fmt.Sprint("r", i), uint64(i), nil, addr))
-	}
-	eventually(t, "the streams", func() bool { return len(s.Status().Routers) == 8 })
-	if n, err := s.Push(body(3, ""), false); n != 1 || err != nil {
-		t.Fatal(n, err)
-	}
-	eventually(t, "the first version everywhere", all(routers, 1))
-	s.Push(body(4, ""), false)
-	eventually(t, "the second by stages", all(routers, 2))
-	s.Push(body(3, "(zone y (routers 1))"), false) // a zone with routers and without a cache
-	eventually(t, "the halt", func() bool { return m.state.Halted != "" })
-	if !strings.Contains(m.state.Halted, "1 of 1 routers refuse it") || !strings.Contains(m.state.Halted, "zone/y: no cache is listed there") {
-		t.Errorf("halted: %q", m.state.Halted)
-	}
-	eventually(t, "the old content under a new number", all(routers, 4))
-	refused := 0
-	for _, r := range s.Status().Routers {
-		if r.Refused == 3 {
-			refused++
+	both(t, func(t *testing.T, full bool) {
+		m := &memory{}
+		s, addr := serve(t, "127.0.0.1:0", m, 100)
+		var routers []*router
+		for i := range 8 {
+			routers = append(routers, follow(t, full, fmt.Sprint("r", i), uint64(i), nil, addr))
 		}
-	}
-	if refused != 1 {
-		t.Errorf("%d routers were offered the bad version", refused)
-	}
-	s.Stop()
-	time.Sleep(100 * time.Millisecond)
-	if !all(routers, 4)() {
-		t.Error("the last good version does not run on without its service")
-	}
-	s, _ = serve(t, addr, m, 100)
-	eventually(t, "the streams again", func() bool { return len(s.Status().Routers) == 8 })
-	s.Push(body(5, ""), true)
-	eventually(t, "the fleet to be level", all(routers, 5))
-	for _, r := range routers {
-		if n := r.uses.Load(); n != 4 {
-			t.Errorf("%d versions were used, want 4: 1, 2, 4 and 5", n)
+		eventually(t, "the streams", func() bool { return len(s.Status().Routers) == 8 })
+		if n, err := s.Push(body(3, ""), false); n != 1 || err != nil {
+			t.Fatal(n, err)
 		}
-	}
+		eventually(t, "the first version everywhere", all(routers, 1))
+		s.Push(body(4, ""), false)
+		eventually(t, "the second by stages", all(routers, 2))
+		s.Push(body(3, "(zone y (routers 1))"), false) // a zone with routers and without a cache
+		eventually(t, "the halt", func() bool { return m.state.Halted != "" })
+		if !strings.Contains(m.state.Halted, "1 of 1 routers refuse it") || !strings.Contains(m.state.Halted, "zone/y: no cache is listed there") {
+			t.Errorf("halted: %q", m.state.Halted)
+		}
+		eventually(t, "the old content under a new number", all(routers, 4))
+		refused := 0
+		for _, r := range s.Status().Routers {
+			if r.Refused == 3 {
+				refused++
+			}
+		}
+		if refused != 1 {
+			t.Errorf("%d routers were offered the bad version", refused)
+		}
+		s.Stop()
+		time.Sleep(100 * time.Millisecond)
+		if !all(routers, 4)() {
+			t.Error("the last good version does not run on without its service")
+		}
+		s, _ = serve(t, addr, m, 100)
+		eventually(t, "the streams again", func() bool { return len(s.Status().Routers) == 8 })
+		s.Push(body(5, ""), true)
+		eventually(t, "the fleet to be level", all(routers, 5))
+		for _, r := range routers {
+			if n := r.uses.Load(); n != 4 {
+				t.Errorf("%d versions were used, want 4: 1, 2, 4 and 5", n)
+			}
+		}
+	})
 }
 
 // A router that restarts begins with its last good version, without a service,
 // and takes nothing older from one that comes back with its past.
 func TestRouterRestarts(t *testing.T) {
-	m := &memory{}
-	s, addr := serve(t, "127.0.0.1:0", m, 50)
-	path := filepath.Join(t.TempDir(), "good.db")
-	store, err := lastgood.Open(path)
+	both(t, func(t *testing.T, full bool) {
+		m := &memory{}
+		s, addr := serve(t, "127.0.0.1:0", m, 50)
+		path := filepath.Join(t.TempDir(), "good.db")
+		store, err := lastgood.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := follow(t, full, "r", 1, store, addr)
+		s.Push(body(3, ""), true)
+		eventually(t, "version 1", all([]*router{r}, 1))
+		past := m.state
+		s.Push(body(4, ""), true)
+		eventually(t, "version 2", all([]*router{r}, 2))
+		r.Close()
+		store.Close()
+		s.Stop()
+		if store, err = lastgood.Open(path); err != nil {
+			t.Fatal(err)
+		}
+		defer store.Close()
+		r = follow(t, full, "r", 2, store, addr)
+		if n, _ := r.Running(); n != 2 {
+			t.Fatalf("after the restart: version %d", n)
+		}
+		s, _ = serve(t, addr, &memory{state: past}, 50)
+		s.Push(body(5, ""), true) // it believes that this is number 2
+		eventually(t, "the refusal", func() bool {
+			st := s.Status().Routers
+			return len(st) == 1 && st[0].Refused == 2 && strings.Contains(strings.Join(st[0].Reasons, " "), "other content")
+		})
+		if n, _ := r.Running(); n != 2 {
+			t.Errorf("runs %d", n)
+		}
+		s.Push(body(5, ""), true)
+		eventually(t, "the next number", all([]*router{r}, 3))
+	})
+}
+
+// A service whose state can't be kept offers nothing that it could forget.
+func TestStateCannotBeKept(t *testing.T) {
+	both(t, func(t *testing.T, full bool) {
+		m := &memory{err: errors.New("no space left")}
+		s, addr := serve(t, "127.0.0.1:0", m, 50)
+		r := follow(t, full, "r", 1, nil, addr)
+		eventually(t, "the stream", func() bool { return len(s.Status().Routers) == 1 })
+		if _, err := s.Push(body(3, ""), true); err == nil || !strings.Contains(err.Error(), "no space left") {
+			t.Errorf("push: %v", err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if n, _ := r.Running(); n != 0 {
+			t.Errorf("version %d was offered", n)
+		}
+	})
+}
+
+// A version of 5 MB comes through; of two services the first one is followed.
+func TestLargeVersionAndSecondService(t *testing.T) {
+	both(t, func(t *testing.T, full bool) {
+		m := &memory{}
+		s, addr := serve(t, "127.0.0.1:0", m, 50)
+		r := follow(t, full, "r", 1, nil, "127.0.0.1:1", addr)
+		s.Push(body(3, "; "+strings.Repeat("x", 5<<20)), true)
+		eventually(t, "5 MB by the second service", all([]*router{r}, 1))
+	})
+}
+
+// Many routers come back at once to a service that takes few streams a second.
+func TestReconnectingFleet(t *testing.T) {
+	both(t, func(t *testing.T, full bool) {
+		m := &memory{}
+		s, addr := serve(t, "127.0.0.1:0", m, 50)
+		s.Push(body(3, ""), true)
+		var routers []*router
+		for i := range 60 {
+			routers = append(routers, follow(t, full, fmt.Sprint("r", i), uint64(i), nil, addr))
+		}
+		eventually(t, "all on version 1", all(routers, 1))
+		s.Stop()
+		ln, err := net.Listen("tcp", addr)
+		for err != nil {
+			time.Sleep(20 * time.Millisecond)
+			ln, err = net.Listen("tcp", addr)
+		}
+		slow := NewServer(ServerConfig{Name: "svc", State: m.state, Keep: m, PerSecond: 30, Tick: 10 * time.Millisecond})
+		go slow.Serve(ln)
+		defer slow.Stop()
+		slow.Push(body(4, ""), true)
+		eventually(t, "the fleet level again", all(routers, 2))
+	})
+}
+
+// counting counts the bytes of what a service sends.
+type counting struct {
+	stats.Handler
+	sent atomic.Int64
+}
+
+func (c *counting) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context   { return ctx }
+func (c *counting) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (c *counting) HandleConn(context.Context, stats.ConnStats)                       {}
+func (c *counting) HandleRPC(_ context.Context, s stats.RPCStats) {
+	if p, ok := s.(*stats.OutPayload); ok {
+		c.sent.Add(int64(p.WireLength))
+	}
+}
+
+// By the incremental protocol a change of one member costs about that member,
+// also after a reconnect, and what arrives is the version to the byte.
+func TestDeltaIsSmall(t *testing.T) {
+	m, c := &memory{}, &counting{}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := follow(t, "r", 1, store, addr)
-	s.Push(body(3, ""), true)
+	s := NewServer(ServerConfig{Name: "svc", Keep: m, PerSecond: 2000}, grpc.StatsHandler(c))
+	go s.Serve(ln)
+	defer s.Stop()
+	r := follow(t, false, "r", 1, nil, ln.Addr().String())
+	first, second := canonical(t, 300, ""), canonical(t, 301, "")
+	s.Push(first, true)
 	eventually(t, "version 1", all([]*router{r}, 1))
-	past := m.state
-	s.Push(body(4, ""), true)
+	whole := c.sent.Swap(0)
+	if whole < int64(len(first)) {
+		t.Fatalf("%d bytes were sent of a version of %d", whole, len(first))
+	}
+	s.Push(second, true)
 	eventually(t, "version 2", all([]*router{r}, 2))
-	r.Close()
-	store.Close()
-	s.Stop()
-	if store, err = lastgood.Open(path); err != nil {
-		t.Fatal(err)
+	if n := c.sent.Swap(0); n > 400 {
+		t.Errorf("one more member took %d bytes; the whole takes %d", n, len(second))
 	}
-	defer store.Close()
-	r = follow(t, "r", 2, store, addr)
-	if n, _ := r.Running(); n != 2 {
-		t.Fatalf("after the restart: version %d", n)
+	if v := r.machineVersion(); string(v.Body) != string(second) {
+		t.Errorf("%d bytes arrived of %d", len(v.Body), len(second))
 	}
-	s, _ = serve(t, addr, &memory{state: past}, 50)
-	s.Push(body(5, ""), true) // it believes that this is number 2
-	eventually(t, "the refusal", func() bool {
-		st := s.Status().Routers
-		return len(st) == 1 && st[0].Refused == 2 && strings.Contains(strings.Join(st[0].Reasons, " "), "other content")
-	})
-	if n, _ := r.Running(); n != 2 {
-		t.Errorf("runs %d", n)
+	s.mu.Lock()
+	for _, st := range s.streams {
+		st.stop(errors.New("cut by the test"))
+	}
+	s.mu.Unlock()
+	eventually(t, "the stream again", func() bool { st := s.Status().Routers; return len(st) == 1 && st[0].Joined && r.streaming() })
+	s.Push(canonical(t, 300, ""), true)
+	eventually(t, "version 3", all([]*router{r}, 3))
+	if n := c.sent.Swap(0); n > 800 {
+		t.Errorf("after a reconnect, one member less took %d bytes", n)
 	}
-	s.Push(body(5, ""), true)
-	eventually(t, "the next number", all([]*router{r}, 3))
 }
 
-// A service whose state can't be kept offers nothing that it could forget.
-func TestStateCannotBeKept(t *testing.T) {
-	m := &memory{err: errors.New("no space left")}
+func (r *router) machineVersion() fleet.Version {
+	r.Agent.mu.Lock()
+	defer r.Agent.mu.Unlock()
+	return r.machine.Accepted()
+}
+
+func (r *router) streaming() bool {
+	r.Agent.mu.Lock()
+	defer r.Agent.mu.Unlock()
+	return r.replies != nil
+}
+
+// Where the two sides disagree about what a router has, the checksum tells, and
+// the whole is sent.
+func TestDeltaMisfit(t *testing.T) {
+	m := &memory{}
 	s, addr := serve(t, "127.0.0.1:0", m, 50)
-	r := follow(t, "r", 1, nil, addr)
-	eventually(t, "the stream", func() bool { return len(s.Status().Routers) == 1 })
-	if _, err := s.Push(body(3, ""), true); err == nil || !strings.Contains(err.Error(), "no space left") {
-		t.Errorf("push: %v", err)
+	r := follow(t, false, "r", 1, nil, addr)
+	s.Push(canonical(t, 30, ""), true)
+	eventually(t, "version 1", all([]*router{r}, 1))
+	s.Push(canonical(t, 31, ""), true)
+	eventually(t, "version 2", all([]*router{r}, 2))
+	bad := &misfit{first: canonical(t, 31, ""), next: fleet.New(3, canonical(t, 32, ""))}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	time.Sleep(50 * time.Millisecond)
-	if n, _ := r.Running(); n != 0 {
-		t.Errorf("version %d was offered", n)
+	g := grpc.NewServer()
+	discovery.RegisterAggregatedDiscoveryServiceServer(g, bad)
+	go g.Serve(ln)
+	defer g.Stop()
+	r = follow(t, false, "r", 1, nil, ln.Addr().String())
+	eventually(t, "the whole, in the second stream", all([]*router{r}, 3))
+	if n := bad.streams.Load(); n != 2 {
+		t.Errorf("%d streams, want 2", n)
 	}
 }
 
-// A version of 5 MB comes through; of two services the first one is followed.
-func TestLargeVersionAndSecondService(t *testing.T) {
-	m := &memory{}
-	s, addr := serve(t, "127.0.0.1:0", m, 50)
-	r := follow(t, "r", 1, nil, "127.0.0.1:1", addr)
-	s.Push(body(3, "; "+strings.Repeat("x", 5<<20)), true)
-	eventually(t, "5 MB by the second service", all([]*router{r}, 1))
+// misfit first takes a router to have what it has not.
+type misfit struct {
+	discovery.UnimplementedAggregatedDiscoveryServiceServer
+	first   []byte
+	next    fleet.Version
+	streams atomic.Int64
 }
 
-// Many routers come back at once to a service that takes few streams a second.
-func TestReconnectingFleet(t *testing.T) {
-	m := &memory{}
-	s, addr := serve(t, "127.0.0.1:0", m, 50)
-	s.Push(body(3, ""), true)
-	var routers []*router
-	for i := range 60 {
-		routers = append(routers, follow(t, fmt.Sprint("r", i), uint64(i), nil, addr))
-	}
-	eventually(t, "all on version 1", all(routers, 1))
-	s.Stop()
-	ln, err := net.Listen("tcp", addr)
-	for err != nil {
-		time.Sleep(20 * time.Millisecond)
-		ln, err = net.Listen("tcp", addr)
+func (m *misfit) DeltaAggregatedResources(g grpc.BidiStreamingServer[discovery.DeltaDiscoveryRequest, discovery.DeltaDiscoveryResponse]) error {
+	p := &deltaPeer{g: g}
+	if _, err := p.hello(); err != nil {
+		return err
+	}
+	if m.streams.Add(1) == 1 {
+		if err := p.send(fleet.New(2, m.first), "bad"); err != nil {
+			return err
+		}
+		if _, _, err := p.recv(); err != nil {
+			return err
+		}
+		p.has["member/b31"] = pieceVersion(split(m.next.Body)["member/b31"]) // which the router was never sent
+	}
+	if err := p.send(m.next, "bad"); err != nil {
+		return err
+	}
+	_, _, err := p.recv()
+	<-g.Context().Done()
+	return err
+}
+
+// However settings change, pieces put together are the text to the byte, and the
+// pieces that differ lead from one text to the other.
+func TestPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) []byte {
+			if rapid.IntRange(0, 9).Draw(t, name+" is no settings") == 0 {
+				return rapid.SliceOfN(rapid.Byte(), 0, 60).Draw(t, name)
+			}
+			var s config.Settings
+			if err := config.ReadVersion("x", string(body(1, "")), nil, &s); err != nil {
+				t.Fatal(err)
+			}
+			s.Members = nil
+			for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 30), 1, 12, rapid.ID).Draw(t, name) {
+				id := fmt.Sprint("b", i)
+				if rapid.IntRange(0, 5).Draw(t, "odd id") == 0 {
+					id = fmt.Sprint(i, rapid.SampledFrom([]string{" a", ")", "\"", "(", "\n(x", "ä"}).Draw(t, "id"))
+				}
+				s.Members = append(s.Members, config.Member{ID: id, Zone: "z", Kind: "box", Address: "127.0.0.1:1", State: "serving",
+					Size: float64(rapid.IntRange(1, 3).Draw(t, "size"))})
+			}
+			return Canonical(&s)
+		}
+		a, b := draw("a"), draw("b")
+		pa, pb := split(a), split(b)
+		if string(join(pa)) != string(a) || string(join(pb)) != string(b) {
+			t.Fatalf("%q came back as %q", a, join(pa))
+		}
+		has := maps.Clone(pa)
+		for name, text := range pb {
+			if pieceVersion(has[name]) != pieceVersion(text) {
+				has[name] = text
+			}
+		}
+		for name := range pa {
+			if _, is := pb[name]; !is {
+				delete(has, name)
+			}
+		}
+		if string(join(has)) != string(b) {
+			t.Fatalf("from\n%q to\n%q came\n%q", a, b, join(has))
+		}
+	})
+}
+
+// A change of one member in canonical settings is one piece.
+func TestOneMemberIsOnePiece(t *testing.T) {
+	a, b := split(canonical(t, 12, "")), split(canonical(t, 13, ""))
+	if len(a) < 12 || len(b) != len(a)+1 {
+		t.Fatalf("%d and %d pieces", len(a), len(b))
+	}
+	for name := range a {
+		if a[name] != b[name] {
+			t.Errorf("piece %s differs", name)
+		}
 	}
-	slow := NewServer(ServerConfig{Name: "svc", State: m.state, Keep: m, PerSecond: 30, Tick: 10 * time.Millisecond})
-	go slow.Serve(ln)
-	defer slow.Stop()
-	slow.Push(body(4, ""), true)
-	eventually(t, "the fleet level again", all(routers, 2))
 }
--- a/internal/control/pieces.go
+++ b/internal/control/pieces.go
@@ -87,9 +87,15 @@
 }
 
 // Canonical is the text of settings that versions are made of: in the order of
-// the schema, members by id, so that a change of one member is one piece.
+// the schema, members by id, so that a change of one member is one piece; what
+// is each router's own is left out.
 func Canonical(s *config.Settings) []byte {
 	c := *s
+	var blank config.Settings
+	config.ReadVersion("", "(router)", nil, &blank) // for the defaults; it is no whole version, and need not be
+	c.Router, c.Control = blank.Router, blank.Control
+	c.Router.Of, c.Router.DeadlineHeader = s.Router.Of, s.Router.DeadlineHeader
+	c.Router.SizeHeader, c.Router.RetryHeader = s.Router.SizeHeader, s.Router.RetryHeader
 	c.Members = slices.Clone(s.Members)
 	sort.SliceStable(c.Members, func(i, j int) bool { return memberLine(c.Members[i].ID) < memberLine(c.Members[j].ID) })
 	return []byte(config.Print(&c))
