--- a/cmd/spool-day/main.go
+++ b/cmd/spool-day/main.go
@@ -123,12 +123,19 @@
 		if len(res.Summary.Classes) > 0 {
 			fmt.Fprint(w, res.Summary.String())
 		}
+		for _, s := range res.Steps {
+			if s.Wrong != "" {
+				fmt.Fprintf(w, "%-24s WRONG  %s\n", s.Name, s.Wrong)
+			} else {
+				fmt.Fprintf(w, "%-24s %6.0f ms  %s\n", s.Name, s.Took, s.Until)
+			}
+		}
 		fmt.Fprint(w, rules.Summary(res.Verdicts), rules.Details(res.Verdicts))
 		if res.Dir != "" {
 			fmt.Fprintf(w, "settings and logs of the routers: %s\n", res.Dir)
 		}
 	}
-	if !rules.AllOK(res.Verdicts) {
+	if !res.OK() {
 		return cli.ErrFound
 	}
 	return nil
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -213,6 +213,13 @@
 	})
 }
 
+// Defaults are settings in which nothing is said. They are not good as they are.
+func Defaults() *Settings {
+	s := &Settings{}
+	ReadVersion("", "(router)", nil, s)
+	return s
+}
+
 // Check tells what contradicts itself.
 func (s *Settings) Check(f *Faults) {
 	add := func(p Pos, key, what, remedy string) { *f = append(*f, Fault{p, key, what, remedy}) }
--- a/internal/control/pieces.go
+++ b/internal/control/pieces.go
@@ -91,8 +91,7 @@
 // is each router's own is left out.
 func Canonical(s *config.Settings) []byte {
 	c := *s
-	var blank config.Settings
-	config.ReadVersion("", "(router)", nil, &blank) // for the defaults; it is no whole version, and need not be
+	blank := config.Defaults()
 	c.Router, c.Control = blank.Router, blank.Control
 	c.Router.Of, c.Router.DeadlineHeader = s.Router.Of, s.Router.DeadlineHeader
 	c.Router.SizeHeader, c.Router.RetryHeader = s.Router.SizeHeader, s.Router.RetryHeader
--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -184,14 +184,24 @@
 	name, zone string
 	mu         sync.Mutex
 	addr       string
+	admin      string // its listener for operators
+	life       int
 	idle       []*conn
 }
 
+// up reports whether the router is there.
+func (r *routerAt) up() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.addr != ""
+}
+
 // moved tells clients where the router is now; empty: it is down.
-func (r *routerAt) moved(addr string) {
+func (r *routerAt) moved(addr, admin string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.addr = addr
+	r.addr, r.admin = addr, admin
+	r.life++
 	for _, c := range r.idle {
 		c.Close()
 	}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -161,3 +161,41 @@
 		}
 	}
 }
+
+// Good, bad and repeated versions, a killed service and a killed router, with
+// members in the versions: the fleet is as it should be at each step, and no
+// rule breaks.
+func TestVersionDay(t *testing.T) {
+	res := play(t, `(control (on) (hold 100) (spread 100) (level 10000))
+		(trouble version-good (at 300)) (trouble version-bad (at 1200)) (trouble drain (at 1500) (for 2000) (boxes 1))
+		(trouble control-down (at 2000) (for 500)) (trouble router-kill (at 2100) (for 300) (routers 1))
+		(trouble version-repeat (at 3200))`)
+	if len(res.Steps) != 4 {
+		t.Errorf("%d steps, want 4: %+v", len(res.Steps), res.Steps)
+	}
+	for _, s := range res.Steps {
+		if s.Wrong != "" {
+			t.Errorf("%s: %s", s.Name, s.Wrong)
+		}
+	}
+	for _, v := range res.Verdicts {
+		if len(v.Breaks) > 0 {
+			t.Errorf("rule %d: %s", v.Rule, v.Breaks[0].What)
+		}
+	}
+}
+
+// A day with versions names what its service can't do.
+func TestVersionScripts(t *testing.T) {
+	for troubles, want := range map[string]string{
+		`(trouble version-good (at 1))`:                      "version-good without a control service",
+		`(control (on)) (trouble list-cut (at 1))`:           "list-cut where versions list the members",
+		`(control (on)) (trouble zone-loss (zone z) (at 1))`: "zone-loss where versions list the members",
+		`(control (on) (protocol odd))`:                      `"odd" is not known here`,
+	} {
+		s := &Script{}
+		if err := config.Read("short.edn", fmt.Sprintf(short, troubles), s); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", troubles, err)
+		}
+	}
+}
--- a/internal/day/proc.go
+++ b/internal/day/proc.go
@@ -25,6 +25,8 @@
 const (
 	ChildStand  = "machine-stand"
 	ChildRouter = "machine-router"
+
+	ChildControl = "machine-control"
 )
 
 // Child runs a machine of a day if the arguments say so. It is called first by
@@ -38,6 +40,8 @@
 		return true, childStand()
 	case ChildRouter:
 		return true, childRouter()
+	case ChildControl:
+		return true, childControl()
 	}
 	return false, nil
 }
@@ -84,14 +88,19 @@
 		return err
 	}
 	defer log.Close()
-	e, err := edge.New(&s, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	gone := make(chan struct{})
+	go func() { untilOrphaned(in); cancel(); close(gone) }()
+	e, end, err := edge.Open(ctx, &s, log)
 	if err != nil {
 		return err
 	}
-	go func() { untilOrphaned(in); e.Stop() }()
+	defer end()
+	go func() { <-gone; e.Stop() }()
 	go func() {
 		if err := e.Ready(); err == nil {
-			fmt.Printf("%s\n", e.Addr())
+			fmt.Printf("%s %s\n", e.Addr(), e.AdminAddr())
 		}
 	}()
 	return e.Run()
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -38,10 +39,17 @@
 type Result struct {
 	Verdicts []rules.Verdict `json:"rules"`
 	Summary  Summary         `json:"summary"`
+	Steps    []Step          `json:"versions,omitempty"`
 	Dir      string          `json:"dir"`
 	Records  []tap.Record    `json:"-"`
 }
 
+// OK reports a day whose rules were all looked at and kept, and whose steps with
+// versions all came out as they should.
+func (r *Result) OK() bool {
+	return rules.AllOK(r.Verdicts) && !slices.ContainsFunc(r.Steps, func(s Step) bool { return s.Wrong != "" })
+}
+
 // machine is a stand-in of the day, over its lives.
 type machine struct {
 	cfg  standin.Config
@@ -64,6 +72,7 @@
 	order    []string
 	routers  []*router
 	list     *standin.List
+	control  *controlled // nil: the day has none
 	origin   *machine
 	http     *http.Client
 	hot      atomic.Pointer[lure]
@@ -84,7 +93,18 @@
 	settings string
 	proc     *process
 	log      *os.File
-	life     int
+}
+
+func (r *router) adminAt() string {
+	r.at.mu.Lock()
+	defer r.at.mu.Unlock()
+	return r.at.admin
+}
+
+func (r *router) lives() int {
+	r.at.mu.Lock()
+	defer r.at.mu.Unlock()
+	return r.at.life
 }
 
 // Run plays a day to its end and judges it.
@@ -131,7 +151,10 @@
 	recs := d.tap.Records()
 	res := &Result{Verdicts: rules.Check(recs, s.Figures()), Dir: d.dir, Records: recs}
 	res.Summary = Summarize(s, recs)
-	if o.Dir == "" && rules.AllOK(res.Verdicts) {
+	if d.control != nil {
+		res.Steps = d.control.steps
+	}
+	if o.Dir == "" && res.OK() {
 		os.RemoveAll(d.dir)
 		res.Dir = ""
 	}
@@ -162,6 +185,9 @@
 		Seed: uint64(s.Day.Seed)}, d.tap); err != nil {
 		return err
 	}
+	if err := d.beginControl(ctx); err != nil {
+		return err
+	}
 	if d.origin, err = d.add(ctx, standin.Config{ID: "origin", Role: "origin", Zone: s.Zones[0].Hub,
 		Capacity: s.Origin.Cap, Latency: s.Origin.Latency, Limit: s.Origin.Limit}); err != nil {
 		return err
@@ -184,11 +210,16 @@
 			}
 		}
 	}
+	if d.control != nil {
+		if err := d.control.firstVersion(ctx); err != nil {
+			return err
+		}
+	}
 	for i := range s.Day.Routers {
 		zone := s.Zones[i%len(s.Zones)].Name
 		name := fmt.Sprintf("router-%d", i+1)
 		r := &router{at: &routerAt{name: name, zone: zone}}
-		r.settings = config.Print(s.Settings(name, zone, i, d.list.Addr()))
+		r.settings = config.Print(d.settings(name, zone, i))
 		if err := os.WriteFile(filepath.Join(d.dir, name+".edn"), []byte(r.settings), 0o644); err != nil {
 			return err
 		}
@@ -244,10 +275,34 @@
 	if cold {
 		since = up.T
 	}
-	d.list.Set(m.row, since)
+	d.listed(m.row, since)
 	return nil
 }
 
+// listed is news of a member, by the list service or by versions.
+func (d *Day) listed(row core.Row, since float64) {
+	if d.control != nil && !d.control.form.FromList {
+		d.control.set(row)
+		return
+	}
+	d.list.Set(row, since)
+}
+
+// settings are what a router's file says.
+func (d *Day) settings(name, zone string, me int) *config.Settings {
+	list := d.list.Addr()
+	if d.control != nil && !d.control.form.FromList {
+		list = ""
+	}
+	c := d.s.Settings(name, zone, me, list)
+	if d.control != nil {
+		c.Control.Services, c.Control.Start = []string{d.control.addr}, "wait"
+		c.Control.Store = filepath.Join(d.dir, name+".db")
+		c.Control.Protocol, c.Control.Spread, c.Control.Report = d.control.form.Protocol, d.control.form.Spread, 1000
+	}
+	return c
+}
+
 func (d *Day) startRouter(ctx context.Context, r *router) error {
 	in, err := json.Marshal(r.settings)
 	if err != nil {
@@ -264,7 +319,14 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w (see %s)", r.at.name, err, r.log.Name())
 	}
-	r.at.moved(addr)
+	var client, admin string
+	if _, err := fmt.Sscan(addr, &client, &admin); err != nil {
+		return fmt.Errorf("day: %s began with %q", r.at.name, addr)
+	}
+	r.at.moved(client, admin)
+	if d.control != nil && !d.control.form.FromList {
+		d.control.recentPurges(r)
+	}
 	return nil
 }
 
@@ -287,6 +349,9 @@
 			m.proc.kill()
 		}
 	}
+	if d.control != nil && d.control.proc != nil {
+		d.control.proc.kill()
+	}
 	if d.list != nil {
 		d.list.Close()
 	}
@@ -321,6 +386,10 @@
 	}
 	arrivals.Add(1)
 	go func() { defer arrivals.Done(); d.purgeAlong(during) }()
+	if d.control != nil {
+		arrivals.Add(1)
+		go func() { defer arrivals.Done(); d.control.along(during) }()
+	}
 	var troubles sync.WaitGroup
 	list := append([]Trouble(nil), s.Troubles...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
@@ -406,6 +475,7 @@
 		choose("parent", d.s.Parents.Count)
 	case t.Kind == ZoneLoss:
 		choose("box", 1<<20)
+	case contains(controlKinds, t.Kind):
 	case t.Kind == OriginSlow || t.Origin:
 		met = append(met, "origin")
 	case t.Kind == RouterKill:
@@ -423,6 +493,9 @@
 // trouble carries one trouble out, to its end.
 func (d *Day) trouble(ctx context.Context, t Trouble, met []string, rng *rand.Rand) error {
 	now := tap.Now()
+	if contains(controlKinds, t.Kind) {
+		return d.control.trouble(ctx, t)
+	}
 	switch t.Kind {
 	case Crash, ZoneLoss:
 		return d.each(met, func(m *machine) error {
@@ -465,7 +538,7 @@
 				go func() {
 					defer wg.Done()
 					d.tap.Add(tap.Record{Ev: tap.Kill, Who: name, Role: "router"})
-					r.at.moved("")
+					r.at.moved("", "")
 					r.proc.kill()
 					sleep(ctx, t.For)
 					d.problem(d.startRouter(ctx, r))
@@ -543,7 +616,7 @@
 
 func (d *Day) setState(m *machine, state string) {
 	m.row.State = state
-	d.list.Set(m.row, 0)
+	d.listed(m.row, 0)
 }
 
 func (d *Day) post(ctx context.Context, m *machine, path string, in, out any) error {
@@ -591,7 +664,11 @@
 	if err := d.post(context.Background(), d.origin, "/-/purge", w, &w); err != nil {
 		return err
 	}
-	d.list.Purge(object, group, w.Made)
+	if d.control != nil && !d.control.form.FromList {
+		d.control.tellPurge(ctx, object, group, w.Made)
+	} else {
+		d.list.Purge(object, group, w.Made)
+	}
 	for i, id := range d.order {
 		m := d.machine(id)
 		if m == nil || m == d.origin {
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"indigospool/internal/config"
@@ -27,6 +28,7 @@
 	Origin   Origin           `edn:"origin"`
 	Classes  []Class          `edn:"class"`
 	Troubles []Trouble        `edn:"trouble"`
+	Control  ControlForm      `edn:"control"`
 }
 
 // Form is the day as a whole.
@@ -167,11 +169,18 @@
 		}
 	}
 	for _, t := range s.Troubles {
-		if !contains(ownKinds, t.Kind) && !contains(standin.Kinds, t.Kind) {
+		if !contains(ownKinds, t.Kind) && !contains(standin.Kinds, t.Kind) && !contains(controlKinds, t.Kind) {
 			add(t.Place.Pos, "trouble", fmt.Sprintf("unknown trouble %q", t.Kind),
-				"known are "+strings.Join(append(append([]string{}, ownKinds...), standin.Kinds...), ", "))
+				"known are "+strings.Join(slices.Concat(ownKinds, standin.Kinds, controlKinds), ", "))
 			continue
 		}
+		byVersion := s.Control.On && !s.Control.FromList
+		switch {
+		case contains(controlKinds, t.Kind) && !s.Control.On:
+			add(t.Place.Pos, "trouble", t.Kind+" without a control service", "add (control (on))")
+		case byVersion && contains([]string{ListCut, ListBack, ListDown, ZoneLoss, ControlOlder}, t.Kind):
+			add(t.Place.Pos, "trouble", t.Kind+" where versions list the members", "add (from-list) to (control ...)")
+		}
 		if t.At >= s.Day.Length {
 			add(t.Place.Of("at"), "trouble/at", fmt.Sprintf("%v is past the day's length %v", t.At, s.Day.Length), "lower it")
 		}
@@ -219,10 +228,11 @@
 
 // Settings are the settings of one of the day's routers.
 func (s *Script) Settings(name, zone string, me int, list string) *config.Settings {
-	c := &config.Settings{Limits: s.Limits, Rules: s.Rules, Fill: s.Fill}
+	c := config.Defaults()
+	c.Limits, c.Rules, c.Fill = s.Limits, s.Rules, s.Fill
 	c.Fill.FlowKB = s.Stand.Flow
 	c.Router = config.Router{Name: name, Me: me, Of: s.Day.Routers, Zone: zone, Listen: "127.0.0.1:0", List: list,
-		Log: "stderr", Level: "info", Seed: s.Day.Seed*1000 + me, DeadlineHeader: "Spool-Deadline", SizeHeader: "Spool-KB",
+		Admin: "127.0.0.1:0", Log: "stderr", Level: "info", Seed: s.Day.Seed*1000 + me, DeadlineHeader: "Spool-Deadline", SizeHeader: "Spool-KB",
 		RetryHeader: "Spool-Retry"}
 	routers := s.routersByZone()
 	hubs := map[string]bool{}
--- /dev/null
+++ b/internal/day/versions.go
@@ -0,0 +1,641 @@
+package day
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"indigospool/internal/config"
+	"indigospool/internal/control"
+	"indigospool/internal/core"
+	"indigospool/internal/fleet"
+	"indigospool/internal/tap"
+)
+
+// ControlForm has the routers of a day follow a control service, a process of
+// its own. Spans are in ms.
+type ControlForm struct {
+	Place     config.Place
+	On        bool    `edn:"on"`
+	FromList  bool    `edn:"from-list"`                               // members come from the list service, not from versions
+	Protocol  string  `edn:"protocol" def:"delta" oneof:"delta full"` // of the stream
+	Hold      float64 `edn:"hold" def:"400" min:"1"`                  // of a stage
+	Spread    float64 `edn:"spread" def:"200" min:"1"`                // of the uses of a version
+	Level     float64 `edn:"level" def:"8000" min:"100"`              // within which the fleet must be level again
+	PerSecond float64 `edn:"per-second" def:"100" min:"0.1"`          // streams that may begin
+	PurgeFrom float64 `edn:"purge-from" def:"50" min:"0"`             // of versions: purges reach each router after so long
+	PurgeTo   float64 `edn:"purge-to" def:"300" min:"0"`              //
+}
+
+// Troubles with versions. Each is a step that waits for what the fleet should be
+// like then, and fails the day where it is not.
+const (
+	VersionGood    = "version-good"    // other limits, by stages
+	VersionBad     = "version-bad"     // names a draining box as a fill source: routers refuse it, and it is halted
+	VersionRepeat  = "version-repeat"  // the same content again, under a new number
+	ControlDown    = "control-down"    // the service is killed, and starts again from its store
+	ControlFlap    = "control-flap"    // the same every so often
+	ControlStopped = "control-stopped" // the process stands still
+	ControlOlder   = "control-older"   // it is killed and comes back with an older store
+)
+
+var controlKinds = []string{VersionGood, VersionBad, VersionRepeat, ControlDown, ControlFlap, ControlStopped, ControlOlder}
+
+// Step is what became of a trouble with versions.
+type Step struct {
+	Name  string  `json:"name"`
+	Took  float64 `json:"took_ms"` // until the fleet was as it should be
+	Until string  `json:"until"`
+	Wrong string  `json:"wrong,omitempty"` // in what it was not
+}
+
+// controlled is the day's control service and what routers are to be told.
+type controlled struct {
+	d     *Day
+	form  ControlForm
+	proc  *process
+	addr  string
+	admin string
+	store string
+	http  *http.Client
+
+	mu    sync.Mutex
+	rows  map[string]core.Row
+	held  int // a limit that changes with each good version
+	dirty chan struct{}
+	steps []Step
+	busy  sync.Mutex // one step at a time
+	purge []purgeMade
+}
+
+type purgeMade struct {
+	object string
+	group  int
+	made   float64
+}
+
+// childControl is the service as a machine of a day. It writes to the tap what
+// it sends: a version that does not pass the checks tells of no members, since
+// no router may go by it.
+func childControl() error {
+	in := bufio.NewReader(os.Stdin)
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return err
+	}
+	var text string
+	if err := json.Unmarshal([]byte(line), &text); err != nil {
+		return err
+	}
+	var set control.ServiceSettings
+	if err := config.Read("day", text, &set); err != nil {
+		return err
+	}
+	out := tap.NewWriter(os.Stdout)
+	var mu sync.Mutex
+	parsed := map[string]*config.Settings{} // by sum; nil: tells of nothing
+	svc, err := control.StartService(&set, zap.NewNop(), func(router string, v fleet.Version) {
+		mu.Lock()
+		s, known := parsed[v.Sum]
+		if !known {
+			s = &config.Settings{}
+			if config.ReadVersion("sent", string(v.Body), nil, s) != nil || len(fleet.Check(nil, s, control.NoLimits)) > 0 {
+				s = nil
+			}
+			parsed[v.Sum] = s
+		}
+		mu.Unlock()
+		if s == nil || len(s.Members) == 0 {
+			return
+		}
+		t := tap.Now()
+		out.Add(tap.Record{T: t, Ev: tap.Told, Who: router, Note: "full", Ver: v.Number})
+		for _, m := range s.Members {
+			out.Add(tap.Record{T: t, Ev: tap.Told, Who: router, Src: m.ID, State: m.State, Start: int64(m.Start)})
+		}
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s %s\n", svc.Addr(), svc.AdminAddr())
+	untilOrphaned(in)
+	svc.Close()
+	return nil
+}
+
+// startControl starts the service, on the address that it had before.
+func (c *controlled) start(ctx context.Context) error {
+	listen, admin := "127.0.0.1:0", "127.0.0.1:0"
+	if c.addr != "" {
+		listen, admin = c.addr, c.admin
+	}
+	text, err := json.Marshal(fmt.Sprintf(`(service (name day) (listen %q) (admin %q) (store %q) (per-second %v) (reports 1000))
+		(rollout (hold %v) (patience 5000)) (checks (box-churn 1) (parent-churn 1))`, listen, admin, c.store, c.form.PerSecond, c.form.Hold))
+	if err != nil {
+		return err
+	}
+	var last error
+	for range 20 { // the address may take a moment to be free
+		if c.proc, err = start(c.d.o.Self, ChildControl, text, io.Discard, c.d.tap.AddLine); err != nil {
+			return err
+		}
+		line, err := c.proc.awaitFirst(ctx)
+		if err == nil {
+			if _, err := fmt.Sscan(line, &c.addr, &c.admin); err != nil {
+				return fmt.Errorf("day: the control service began with %q", line)
+			}
+			return nil
+		}
+		if last = err; ctx.Err() != nil {
+			break
+		}
+		sleep(ctx, 100)
+	}
+	return fmt.Errorf("day: control service: %w", last)
+}
+
+// text is the settings of a version, with the rows as they are now.
+func (c *controlled) text(extra func(*config.Settings)) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.d.s.Settings("any", "", 0, "")
+	s.Limits.Held += c.held
+	for _, id := range c.d.order {
+		r, known := c.rows[id]
+		if !known || r.State == "removed" {
+			continue
+		}
+		s.Members = append(s.Members, config.Member{ID: r.ID, Zone: r.Zone, Kind: r.Kind, Cell: r.Cell, Size: r.Size,
+			Address: r.Address, State: r.State, Start: int(r.Start)})
+	}
+	if extra != nil {
+		extra(s)
+	}
+	return control.Canonical(s)
+}
+
+// set is news of a member.
+func (c *controlled) set(row core.Row) {
+	c.mu.Lock()
+	c.rows[row.ID] = row
+	c.mu.Unlock()
+	select {
+	case c.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// along pushes versions as members change, to all at once: a drain does not
+// wait for stages. While the service is down, changes wait for it.
+func (c *controlled) along(ctx context.Context) {
+	for {
+		select {
+		case <-c.dirty:
+		case <-ctx.Done():
+			return
+		}
+		for ctx.Err() == nil {
+			_, err := c.push(ctx, c.text(nil), url.Values{"now": {"1"}, "unchecked": {"1"}})
+			if err == nil {
+				break
+			}
+			sleep(ctx, 50)
+		}
+	}
+}
+
+func (c *controlled) call(ctx context.Context, method, path string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.admin+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return fetchJSON(c.http, req, out)
+}
+
+func fetchJSON(h *http.Client, req *http.Request, out any) error {
+	res, err := h.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode/100 != 2 {
+		return fmt.Errorf("day: %s: %s: %s", req.URL.Path, res.Status, b)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(b, out)
+}
+
+func (c *controlled) push(ctx context.Context, text []byte, q url.Values) (int64, error) {
+	var r control.PushResult
+	if err := c.call(ctx, "POST", "/push?"+q.Encode(), text, &r); err != nil {
+		return 0, err
+	}
+	return r.Number, nil
+}
+
+func (c *controlled) view(ctx context.Context) (v control.StatusView, err error) {
+	err = c.call(ctx, "GET", "/status", nil, &v)
+	return v, err
+}
+
+// routerState is what a router's /state says of versions.
+type routerState struct {
+	Version  int64 `json:"version"`
+	Versions struct {
+		Running int64
+		List    []struct {
+			Number  int64
+			State   string
+			Reasons []string
+		}
+	} `json:"versions"`
+}
+
+func (d *Day) state(ctx context.Context, r *router) (s routerState, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+r.adminAt()+"/state", nil)
+	if err != nil {
+		return s, err
+	}
+	return s, fetchJSON(d.http, req, &s)
+}
+
+// level waits until the service holds its last number to be everybody's and
+// every router that lives says that it runs it.
+func (c *controlled) level(ctx context.Context, least int64) (took float64, err error) {
+	began := tap.Now()
+	why := ""
+	for tap.Now()-began < c.form.Level {
+		if why = c.unlevel(ctx, least); why == "" {
+			return tap.Now() - began, nil
+		}
+		if !sleep(ctx, 20) {
+			return 0, ctx.Err()
+		}
+	}
+	return 0, fmt.Errorf("day: the fleet is not level after %.0f ms: %s", c.form.Level, why)
+}
+
+func (c *controlled) unlevel(ctx context.Context, least int64) string {
+	v, err := c.view(ctx)
+	switch {
+	case err != nil:
+		return err.Error()
+	case v.Next != 0 || v.Base < least:
+		return fmt.Sprintf("version %d is everybody's, %d is on its way, %d or more is waited for", v.Base, v.Next, least)
+	}
+	joined := map[string]bool{}
+	for _, r := range v.Routers {
+		if joined[r.Router] = r.Joined; r.Joined && r.Running < v.Base {
+			return fmt.Sprintf("the service knows %s to have accepted %d, refused %d: %s", r.Router, r.Running, r.Refused, strings.Join(r.Reasons, "; "))
+		}
+	}
+	for _, r := range c.d.alive() {
+		s, err := c.d.state(ctx, r)
+		switch {
+		case err != nil:
+			continue // killed meanwhile
+		case s.Version < v.Base:
+			return fmt.Sprintf("%s runs %d, %d is everybody's", r.at.name, s.Version, v.Base)
+		case !joined[r.at.name]:
+			return fmt.Sprintf("%s has no stream", r.at.name)
+		}
+	}
+	return ""
+}
+
+// alive are the routers that are not killed.
+func (d *Day) alive() (out []*router) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.routers {
+		if r.at.up() {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (c *controlled) done(name, until string, took float64) {
+	c.mu.Lock()
+	c.steps = append(c.steps, Step{Name: name, Took: took, Until: until})
+	c.mu.Unlock()
+	c.d.say("          %s: %s after %.0f ms", name, until, took)
+}
+
+// trouble carries out a trouble with versions, to the state that should follow.
+func (c *controlled) trouble(ctx context.Context, t Trouble) error {
+	c.busy.Lock()
+	defer c.busy.Unlock()
+	name := fmt.Sprintf("%s@%.1fs", t.Kind, t.At/1000)
+	began := tap.Now()
+	wrong := func(err error) error {
+		if err != nil && ctx.Err() == nil { // the day goes on, so that the rules can be judged
+			c.mu.Lock()
+			c.steps = append(c.steps, Step{Name: name, Took: tap.Now() - began, Wrong: strings.TrimPrefix(err.Error(), "day: ")})
+			c.mu.Unlock()
+			c.d.say("          %s: WRONG: %v", name, err)
+		}
+		return nil
+	}
+	switch t.Kind {
+	case VersionGood, VersionRepeat:
+		if t.Kind == VersionGood {
+			c.mu.Lock()
+			c.held++
+			c.mu.Unlock()
+		}
+		n, err := c.push(ctx, c.text(nil), url.Values{"unchecked": {"1"}})
+		if err == nil {
+			_, err = c.level(ctx, n)
+		}
+		if err != nil {
+			return wrong(err)
+		}
+		c.done(name, fmt.Sprintf("version %d or later everywhere", n), tap.Now()-began)
+	case VersionBad:
+		return wrong(c.bad(ctx, name))
+	case ControlDown, ControlFlap:
+		for end := tap.Now() + t.For; ; {
+			c.proc.kill()
+			down := t.For
+			if t.Kind == ControlFlap {
+				down = min(t.Every/2, t.For)
+			}
+			if err := c.without(ctx, down); err != nil {
+				return wrong(err)
+			}
+			if err := c.start(ctx); err != nil {
+				return wrong(err)
+			}
+			if t.Kind == ControlDown || tap.Now() >= end {
+				break
+			}
+			sleep(ctx, t.Every/2)
+		}
+		if err := c.changeAll(ctx, name, "after the service's start"); err != nil {
+			return wrong(err)
+		}
+	case ControlStopped:
+		c.proc.cmd.Process.Signal(syscall.SIGSTOP)
+		err := c.without(ctx, t.For)
+		c.proc.cmd.Process.Signal(syscall.SIGCONT)
+		if err != nil {
+			return wrong(err)
+		}
+		if err := c.changeAll(ctx, name, "after the service went on"); err != nil {
+			return wrong(err)
+		}
+	case ControlOlder:
+		return wrong(c.older(ctx, name, t))
+	}
+	return nil
+}
+
+// changeAll pushes another limit to all at once and waits until all run it: also
+// those whose streams have yet to begin again.
+func (c *controlled) changeAll(ctx context.Context, name, since string) error {
+	began := tap.Now()
+	c.mu.Lock()
+	c.held++
+	c.mu.Unlock()
+	n, err := c.push(ctx, c.text(nil), url.Values{"now": {"1"}, "unchecked": {"1"}})
+	if err != nil {
+		return err
+	}
+	if _, err := c.level(ctx, n); err != nil {
+		return err
+	}
+	c.done(name, fmt.Sprintf("a change is everywhere (version %d) %s", n, since), tap.Now()-began)
+	return nil
+}
+
+// without lets time pass with no service, and sees that every router that lived
+// through it runs what it ran.
+func (c *controlled) without(ctx context.Context, span float64) error {
+	was := map[*router]int64{}
+	lives := map[*router]int{}
+	for _, r := range c.d.alive() {
+		if s, err := c.d.state(ctx, r); err == nil {
+			was[r], lives[r] = s.Version, r.lives()
+		}
+	}
+	sleep(ctx, span)
+	for r, n := range was {
+		s, err := c.d.state(ctx, r)
+		if err != nil || r.lives() != lives[r] {
+			continue
+		}
+		if s.Version < n {
+			return fmt.Errorf("%s ran %d, and %d without its service", r.at.name, n, s.Version)
+		}
+	}
+	return nil
+}
+
+// bad offers a version that names a draining box as a fill source: those who are
+// offered it refuse it, nobody runs it, and the old content follows.
+func (c *controlled) bad(ctx context.Context, name string) error {
+	began := tap.Now()
+	n, err := c.push(ctx, c.text(func(s *config.Settings) {
+		last := -1
+		for i := range s.Members {
+			if s.Members[i].Kind == "box" && s.Members[i].State == "serving" {
+				if last >= 0 && s.Members[i].Zone == s.Members[last].Zone {
+					s.Members[i].State = "draining"
+					s.Members[last].FillFrom = []string{s.Members[i].ID}
+					return
+				}
+				last = i
+			}
+		}
+		s.Rules.DrainGrace *= 2 // no member is listed
+	}), url.Values{"unchecked": {"1"}})
+	if err != nil {
+		return err
+	}
+	refused, want := 0, "is draining"
+	if c.form.FromList {
+		want = "loosened"
+	}
+	for refused == 0 {
+		for _, r := range c.d.alive() {
+			s, err := c.d.state(ctx, r)
+			if err != nil {
+				continue
+			}
+			for _, one := range s.Versions.List {
+				if one.Number != n {
+					continue
+				}
+				if one.State != "refused" || !strings.Contains(strings.Join(one.Reasons, " "), want) {
+					return fmt.Errorf("%s takes version %d for %s: %v", r.at.name, n, one.State, one.Reasons)
+				}
+				refused++
+			}
+			if s.Version == n {
+				return fmt.Errorf("%s runs the bad version %d", r.at.name, n)
+			}
+		}
+		if v, err := c.view(ctx); err == nil && v.Base > n && refused == 0 && v.Halted == "" {
+			c.done(name, fmt.Sprintf("version %d was superseded before a router had it", n), tap.Now()-began)
+			return nil
+		}
+		if tap.Now()-began > c.form.Level || !sleep(ctx, 10) {
+			return fmt.Errorf("no router has refused version %d after %.0f ms", n, c.form.Level)
+		}
+	}
+	if _, err := c.level(ctx, n+1); err != nil {
+		return err
+	}
+	c.done(name, fmt.Sprintf("version %d refused by %d, halted, old content everywhere", n, refused), tap.Now()-began)
+	return nil
+}
+
+// older kills the service and starts it with the store of some versions ago:
+// routers keep what they have, and its next versions are above that.
+func (c *controlled) older(ctx context.Context, name string, t Trouble) error {
+	backup := c.store + ".backup"
+	c.proc.kill()
+	if err := copyFile(c.store, backup); err != nil {
+		return err
+	}
+	if err := c.start(ctx); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.held++
+	c.mu.Unlock()
+	n, err := c.push(ctx, c.text(nil), url.Values{"now": {"1"}, "unchecked": {"1"}})
+	if err != nil {
+		return err
+	}
+	if _, err := c.level(ctx, n); err != nil {
+		return err
+	}
+	c.proc.kill()
+	if err := os.Rename(backup, c.store); err != nil {
+		return err
+	}
+	if err := c.start(ctx); err != nil {
+		return err
+	}
+	if err := c.without(ctx, t.For); err != nil { // in effect: what it offers is older, and refused
+		return err
+	}
+	began := tap.Now()
+	m, err := c.push(ctx, c.text(nil), url.Values{"now": {"1"}, "unchecked": {"1"}})
+	if err != nil {
+		return err
+	}
+	if m <= n {
+		return fmt.Errorf("the service that came back with its past gives number %d; routers have accepted %d", m, n)
+	}
+	if _, err := c.level(ctx, m); err != nil {
+		return err
+	}
+	c.done(name, fmt.Sprintf("version %d everywhere from a service that had forgotten %d", m, n), tap.Now()-began)
+	return nil
+}
+
+func copyFile(from, to string) error {
+	b, err := os.ReadFile(from)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(to, b, 0o600)
+}
+
+// tellPurge tells routers of a purge by their listener for operators, late.
+func (c *controlled) tellPurge(ctx context.Context, object string, group int, made float64) {
+	p := purgeMade{object, group, made}
+	c.mu.Lock()
+	c.purge = append(c.purge, p)
+	c.mu.Unlock()
+	for i, r := range c.d.alive() {
+		lag := c.form.PurgeFrom + (c.form.PurgeTo-c.form.PurgeFrom)*math.Mod(float64(i)*0.37, 1)
+		c.d.wg.Add(1)
+		go func() {
+			defer c.d.wg.Done()
+			if sleep(ctx, lag) {
+				c.purgeAt(r, p)
+			}
+		}()
+	}
+}
+
+// recentPurges tells a router that has just started of what it may have missed.
+func (c *controlled) recentPurges(r *router) {
+	c.mu.Lock()
+	list := append([]purgeMade(nil), c.purge...)
+	c.mu.Unlock()
+	for _, p := range list {
+		if tap.Now()-p.made < c.d.s.Rules.PurgeTakes+1000 {
+			c.purgeAt(r, p)
+		}
+	}
+}
+
+func (c *controlled) purgeAt(r *router, p purgeMade) {
+	path := p.object
+	if p.object == "" {
+		path = "/?group=" + fmt.Sprint(p.group)
+	}
+	req, err := http.NewRequest("PURGE", "http://"+r.adminAt()+path, nil)
+	if err != nil {
+		return
+	}
+	if err := fetchJSON(c.d.http, req, nil); err != nil {
+		var down net.Error
+		if !errors.As(err, &down) && r.at.up() {
+			c.d.problem(err)
+		}
+		return
+	}
+	c.d.tap.Add(tap.Record{Ev: tap.Told, Who: r.at.name, Object: p.object, Group: p.group, Born: p.made, Note: "purge"})
+}
+
+// begin readies the service and the first version before the routers start.
+func (d *Day) beginControl(ctx context.Context) error {
+	if !d.s.Control.On {
+		return nil
+	}
+	d.control = &controlled{d: d, form: d.s.Control, store: filepath.Join(d.dir, "control.db"), rows: map[string]core.Row{},
+		dirty: make(chan struct{}, 1), http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return d.control.start(ctx)
+}
+
+// firstVersion pushes what the routers wait for.
+func (c *controlled) firstVersion(ctx context.Context) error {
+	select {
+	case <-c.dirty:
+	default:
+	}
+	_, err := c.push(ctx, c.text(nil), url.Values{"now": {"1"}, "unchecked": {"1"}})
+	return err
+}
