--- a/cmd/spool-bench/main.go
+++ b/cmd/spool-bench/main.go
@@ -88,6 +88,66 @@
 		}}
 	mem.Flags().IntVar(&idle, "conns", 10000, "how many")
 	mem.Flags().StringSliceVar(&idlers, "proxies", []string{"spool", "reverseproxy", "fasthttp"}, "what to measure")
+	var fleets []int
+	var versions, rate, windows int
+	fleet := &cobra.Command{Use: "fleet", Short: "Versions from one control service to many routers' machines, over real streams", Args: cobra.NoArgs,
+		Example: "  spool-bench fleet --routers 30,300,1000",
+		RunE: func(c *cobra.Command, _ []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			var all []bench.FleetResult
+			if !asJSON {
+				fmt.Printf("%-6s %7s %9s %10s %10s %10s %9s %11s %9s %9s %12s\n", "", "routers", "join ms", "mean ms", "worst ms", "used ms",
+					"CPU ms/v", "bytes/v/r", "RSS KB", "before KB", "reconnect ms")
+			}
+			for _, full := range []bool{true, false} {
+				for _, n := range fleets {
+					r, err := bench.Fleet(c.Context(), []string{self, "child"}, n, versions, full)
+					if err != nil {
+						return err
+					}
+					all = append(all, r)
+					if !asJSON {
+						fmt.Printf("%-6s %7d %9.0f %10.1f %10.1f %10.0f %9.1f %11.0f %9d %9d %12.0f\n", r.Protocol, r.Routers, r.Joined, r.Mean, r.Worst, r.Used,
+							r.CPU, r.Bytes, r.RSS, r.RSSFirst, r.Settled)
+					}
+				}
+			}
+			if asJSON {
+				return json.NewEncoder(os.Stdout).Encode(all)
+			}
+			fmt.Printf("a version is %d bytes as pushed, and differs from the one before in one member of 129\n", all[0].Body)
+			return nil
+		}}
+	fleet.Flags().IntSliceVar(&fleets, "routers", []int{30, 300, 1000}, "sizes of the fleet")
+	fleet.Flags().IntVar(&versions, "versions", 10, "how many, each after the one before is in use")
+	path := &cobra.Command{Use: "versions", Short: "What requests wait with a version a second and without, in turn", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			r, err := bench.Versions(c.Context(), []string{self, "child"}, rate, windows, span)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(os.Stdout).Encode(r)
+			}
+			for i, word := range []string{"without", "with"} {
+				fmt.Printf("%-8s %8d requests, p50 %d us, p99 %d us, p99.9 %d us\n", word, r.Requests[i], r.P50[i], r.P99[i], r.P999[i])
+			}
+			fmt.Printf("%d versions, the last in use %d; %d failed; p99 with to without %.2f; of pairs of windows %.2f\n", r.Versions, r.Run, r.Failed, r.Ratio, r.Ratios)
+			return nil
+		}}
+	path.Flags().IntVar(&rate, "rate", 2000, "requests a second")
+	path.Flags().IntVar(&windows, "windows", 6, "windows of each kind")
+	path.Flags().DurationVar(&span, "span", 5*time.Second, "a window")
+	for _, c := range []*cobra.Command{fleet, path} {
+		c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	}
 	child := &cobra.Command{Use: "child NAME BACKEND", Hidden: true, Args: cobra.ExactArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error {
 			if file := os.Getenv("SPOOL_BENCH_CPUPROFILE"); file != "" && args[0] == "spool" {
@@ -103,7 +163,7 @@
 			}
 			return bench.Child(args[0], args[1])
 		}}
-	root.AddCommand(run, mem, child)
+	root.AddCommand(run, mem, fleet, path, child)
 	cli.Main(root)
 }
 
--- a/cmd/spool-control/main.go
+++ b/cmd/spool-control/main.go
@@ -3,14 +3,11 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"net/url"
 	"os"
 	"strconv"
@@ -158,40 +155,14 @@
 // client speaks to a service's listener for operators.
 type client struct{ admin string }
 
+// call is control.Call, with what is refused as something found.
 func (c client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	network, base := "tcp", "http://"+c.admin
-	if strings.HasPrefix(c.admin, "/") {
-		network, base = "unix", "http://unix"
+	b, err := control.Call(ctx, c.admin, method, path, body)
+	var lines *control.RefusedLines
+	if errors.As(err, &lines) {
+		return nil, &cli.FoundError{Err: err}
 	}
-	h := &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{
-		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			return (&net.Dialer{}).DialContext(ctx, network, c.admin)
-		}}}
-	defer h.CloseIdleConnections()
-	req, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	res, err := h.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("%w; does spool-control serve run, and is --admin its (admin ...)?", err)
-	}
-	defer res.Body.Close()
-	b, err := io.ReadAll(res.Body)
-	if err != nil {
-		return nil, err
-	}
-	if res.StatusCode == http.StatusUnprocessableEntity {
-		var r control.PushResult
-		if err := json.Unmarshal(b, &r); err != nil {
-			return nil, err
-		}
-		return nil, &cli.FoundError{Err: fmt.Errorf("refused, nothing has changed:\n%s", strings.Join(r.Reasons, "\n"))}
-	}
-	if res.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("the service answers %s: %s", res.Status, bytes.TrimSpace(b))
-	}
-	return b, nil
+	return b, err
 }
 
 func (c client) push(ctx context.Context, path string, body []byte, wait time.Duration) error {
@@ -212,7 +183,7 @@
 		return nil
 	}
 	for end := time.Now().Add(wait); time.Now().Before(end); {
-		v, err := c.view(ctx)
+		v, err := control.StatusOf(ctx, c.admin)
 		switch {
 		case err != nil:
 			return err
@@ -231,14 +202,6 @@
 	return &cli.FoundError{Err: fmt.Errorf("version %d is not everybody's after %v; see spool-control status", r.Number, wait)}
 }
 
-func (c client) view(ctx context.Context) (v control.StatusView, err error) {
-	b, err := c.call(ctx, "GET", "/status", nil)
-	if err != nil {
-		return v, err
-	}
-	return v, json.Unmarshal(b, &v)
-}
-
 // behind counts routers with a stream that don't run everybody's version.
 func behind(v control.StatusView) (n int) {
 	for _, r := range v.Routers {
@@ -250,7 +213,7 @@
 }
 
 func (c client) status(ctx context.Context, asJSON bool) error {
-	v, err := c.view(ctx)
+	v, err := control.StatusOf(ctx, c.admin)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -51,6 +51,10 @@
 		return serveHeld()
 	case "spool":
 		return serveSpool(backend)
+	case "control":
+		return serveControl(backend)
+	case "follower":
+		return serveFollower(backend)
 	case "reverseproxy":
 		return serveReverse(backend)
 	case "fasthttp":
@@ -61,6 +65,8 @@
 	return fmt.Errorf("bench: unknown proxy %q; known are %v", name, Proxies)
 }
 
+func newReader(c net.Conn) *bufio.Reader { return bufio.NewReaderSize(c, 16<<10) }
+
 func untilOrphaned() { io.Copy(io.Discard, os.Stdin) }
 
 // serveHeld answers /s/0/KB with so many KB, as a cache that holds them, by fasthttp.
@@ -366,7 +372,7 @@
 			defer c.Close()
 			<-begin
 			own := hdrhistogram.New(1, 60_000_000, 3)
-			br := bufio.NewReaderSize(c, 16<<10)
+			br := newReader(c)
 			for !stop.Load() {
 				at := time.Now()
 				c.SetDeadline(at.Add(30 * time.Second))
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
 
 	"olympos.io/encoding/edn"
 )
@@ -99,7 +100,21 @@
 	tag      reflect.StructTag
 }
 
+// schemaOf is what the tags of a struct's fields say.
+type schemaOf struct {
+	named      map[string]fieldInfo
+	positional []fieldInfo
+	place      int
+}
+
+var schemas sync.Map // schemaOf by reflect.Type
+
 func fieldsOf(t reflect.Type) (named map[string]fieldInfo, positional []fieldInfo, place int) {
+	if s, ok := schemas.Load(t); ok {
+		s := s.(schemaOf)
+		return s.named, s.positional, s.place
+	}
+	defer func() { schemas.Store(t, schemaOf{named, positional, place}) }()
 	named, place = map[string]fieldInfo{}, -1
 	for i := range t.NumField() {
 		f := t.Field(i)
--- a/internal/config/form.go
+++ b/internal/config/form.go
@@ -9,6 +9,7 @@
 package config
 
 import (
+	"bufio"
 	"fmt"
 	"os"
 	"sort"
@@ -99,6 +100,27 @@
 	line   int
 	start  int // index at which the line begins
 	faults Faults
+	seen   map[string]any // atoms by their text: most of them come again
+	buf    *bufio.Reader
+}
+
+// atom is the value of an atom's text. The library makes a buffer of 4 KB for
+// each call, unless it is given one.
+func (r *reader) atom(text string) (v any, err error) {
+	if v, ok := r.seen[text]; ok {
+		return v, nil
+	}
+	if r.buf == nil {
+		r.buf, r.seen = bufio.NewReader(nil), map[string]any{}
+	}
+	r.buf.Reset(strings.NewReader(text))
+	if err := edn.NewDecoder(r.buf).Decode(&v); err != nil {
+		return nil, err
+	}
+	if len(text) < 64 {
+		r.seen[text] = v
+	}
+	return v, nil
 }
 
 func (r *reader) pos() Pos { return Pos{r.file, r.line, r.at - r.start + 1} }
@@ -197,13 +219,13 @@
 		}
 	}
 	text := r.src[from:r.at]
-	var v any
 	if last := text[len(text)-1]; (last == 'M' || last == 'N') && strings.IndexByte("+-0123456789", text[0]) >= 0 {
 		// the library works for minutes on 1e9999999M; numbers of any precision are of no use here
 		r.fault(p, fmt.Sprintf("%.40s is a number of any precision", text), "write it without the last letter")
 		return form{}, false
 	}
-	if err := edn.UnmarshalString(text, &v); err != nil || v == nil {
+	v, err := r.atom(text)
+	if err != nil || v == nil {
 		r.fault(p, fmt.Sprintf("%.40s is neither a number, a word nor a string", text),
 			"put text in double quotes; spans are numbers in milliseconds")
 		return form{}, false
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -169,7 +169,7 @@
 	res := play(t, `(control (on) (hold 100) (spread 100) (level 10000))
 		(trouble version-good (at 300)) (trouble version-bad (at 1200)) (trouble drain (at 1500) (for 2000) (boxes 1))
 		(trouble control-down (at 2000) (for 500)) (trouble router-kill (at 2100) (for 300) (routers 1))
-		(trouble version-repeat (at 3200))`)
+		(trouble crash (at 300) (for 300) (boxes 1)) (trouble version-repeat (at 3200))`)
 	if len(res.Steps) != 4 {
 		t.Errorf("%d steps, want 4: %+v", len(res.Steps), res.Steps)
 	}
