A turned-down version is offered again; pieces of a version are cut once for all streams

A router that turned down a second service while the first was in charge never heard of it again on that stream, once the first had gone for good: the machine now asks it to offer anew when the lease is over. A router whose disk was full is offered everybody's version again after a minute.

Tests: endless and dripping versions, a service that flaps, two that disagree.

--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -43,14 +43,16 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
-	mu      sync.Mutex
-	machine *fleet.Machine
-	replies chan reply       // of the present stream; nil: there is none
-	nonces  map[int64]string // of versions offered on it
-	whole   bool             // the next stream asks for everything
-	state   string           // of the stream, for status
-	wake    *time.Timer
-	began   time.Time
+	mu        sync.Mutex
+	machine   *fleet.Machine
+	again     context.CancelCauseFunc // ends the present stream
+	following string                  // the service at its other end
+	replies   chan reply              // of the present stream; nil: there is none
+	nonces    map[int64]string        // of versions offered on it
+	whole     bool                    // the next stream asks for everything
+	state     string                  // of the stream, for status
+	wake      *time.Timer
+	began     time.Time
 }
 
 // reply is an answer to a version, to be written to the stream.
@@ -60,6 +62,9 @@
 	reasons          []fleet.Reason
 }
 
+// errAgain ends a stream so that its service offers its version again.
+var errAgain = errors.New("control: the service in charge is silent; this one is asked again")
+
 // StartAgent begins: the last good version first, then the services.
 func StartAgent(cfg AgentConfig) *Agent {
 	if cfg.Backoff <= 0 {
@@ -151,6 +156,10 @@
 				a.cfg.Use(act)
 			case fleet.Warn:
 				a.cfg.Warn(act.Text)
+			case fleet.Ask:
+				if a.again != nil && a.following == act.Service {
+					a.again(errAgain)
+				}
 			case fleet.Wake:
 				if a.wake == nil {
 					a.wake = time.AfterFunc(0, func() { a.tell(fleet.Tick{}) })
@@ -246,11 +255,11 @@
 	replies := make(chan reply, 16)
 	a.mu.Lock()
 	accepted := a.machine.Floor()
-	a.nonces, a.replies = map[int64]string{}, replies
+	a.nonces, a.replies, a.again, a.following = map[int64]string{}, replies, cancel, ""
 	a.mu.Unlock()
 	defer func() {
 		a.mu.Lock()
-		a.replies = nil
+		a.replies, a.again = nil, nil
 		a.mu.Unlock()
 	}()
 	if err := l.hello(a.cfg.Router, accepted); err != nil {
@@ -287,7 +296,7 @@
 				service = address
 			}
 			a.mu.Lock()
-			a.state = "following " + address
+			a.state, a.following = "following "+address, service
 			a.mu.Unlock()
 			go a.alive(ctx, service)
 			if a.cfg.Tally != nil {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -58,6 +58,12 @@
 	return m.err
 }
 
+func (m *memory) get() fleet.RolloutState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
+
 func serve(t testing.TB, addr string, m *memory, hold float64) (*Server, string) {
 	var ln net.Listener
 	var err error
@@ -70,7 +76,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(ServerConfig{Name: "svc", State: m.state, Keep: m, Tick: 10 * time.Millisecond, PerSecond: 2000,
+	s := NewServer(ServerConfig{Name: "svc", State: m.get(), Keep: m, Tick: 10 * time.Millisecond, PerSecond: 2000,
 		Rollout: fleet.RolloutSettings{Hold: hold, Patience: 5000}})
 	go s.Serve(ln)
 	t.Cleanup(s.Stop)
@@ -91,11 +97,17 @@
 }
 
 func follow(t testing.TB, full bool, name string, seed uint64, store *lastgood.Store, services ...string) *router {
+	return followFor(t, AgentConfig{Router: name, Services: services, Seed: seed, Store: store, Full: full, Fleet: fleet.Settings{Spread: 50}})
+}
+
+// followFor is follow with more said.
+func followFor(t testing.TB, c AgentConfig) *router {
 	r := &router{}
-	r.Agent = StartAgent(AgentConfig{Router: name, Services: services, Seed: seed, Store: store, Full: full, Backoff: 20 * time.Millisecond,
-		Fleet: fleet.Settings{Spread: 50}, Dial: []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())},
-		Use:  func(fleet.Use) { r.uses.Add(1) },
-		Warn: func(s string) { r.mu.Lock(); r.said = append(r.said, s); r.mu.Unlock() }})
+	c.Backoff = 20 * time.Millisecond
+	c.Dial = []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}
+	c.Use = func(fleet.Use) { r.uses.Add(1) }
+	c.Warn = func(s string) { r.mu.Lock(); r.said = append(r.said, s); r.mu.Unlock() }
+	r.Agent = StartAgent(c)
 	t.Cleanup(r.Close)
 	return r
 }
@@ -139,9 +151,9 @@
 		s.Push(body(4, ""), false)
 		eventually(t, "the second by stages", all(routers, 2))
 		s.Push(body(3, "(zone y (routers 1))"), false) // a zone with routers and without a cache
-		eventually(t, "the halt", func() bool { return m.state.Halted != "" })
-		if !strings.Contains(m.state.Halted, "1 of 1 routers refuse it") || !strings.Contains(m.state.Halted, "zone/y: no cache is listed there") {
-			t.Errorf("halted: %q", m.state.Halted)
+		eventually(t, "the halt", func() bool { return m.get().Halted != "" })
+		if !strings.Contains(m.get().Halted, "1 of 1 routers refuse it") || !strings.Contains(m.get().Halted, "zone/y: no cache is listed there") {
+			t.Errorf("halted: %q", m.get().Halted)
 		}
 		eventually(t, "the old content under a new number", all(routers, 4))
 		refused := 0
@@ -184,7 +196,7 @@
 		r := follow(t, full, "r", 1, store, addr)
 		s.Push(body(3, ""), true)
 		eventually(t, "version 1", all([]*router{r}, 1))
-		past := m.state
+		past := m.get()
 		s.Push(body(4, ""), true)
 		eventually(t, "version 2", all([]*router{r}, 2))
 		r.Close()
@@ -257,7 +269,7 @@
 			time.Sleep(20 * time.Millisecond)
 			ln, err = net.Listen("tcp", addr)
 		}
-		slow := NewServer(ServerConfig{Name: "svc", State: m.state, Keep: m, PerSecond: 30, Tick: 10 * time.Millisecond})
+		slow := NewServer(ServerConfig{Name: "svc", State: m.get(), Keep: m, PerSecond: 30, Tick: 10 * time.Millisecond})
 		go slow.Serve(ln)
 		defer slow.Stop()
 		slow.Push(body(4, ""), true)
@@ -367,7 +379,7 @@
 }
 
 func (m *misfit) DeltaAggregatedResources(g grpc.BidiStreamingServer[discovery.DeltaDiscoveryRequest, discovery.DeltaDiscoveryResponse]) error {
-	p := &deltaPeer{g: g}
+	p := &deltaPeer{g: g, cuts: &cutter{}}
 	if _, err := p.hello(); err != nil {
 		return err
 	}
@@ -378,7 +390,9 @@
 		if _, _, err := p.recv(); err != nil {
 			return err
 		}
-		p.has["member/b31"] = pieceVersion(split(m.next.Body)["member/b31"]) // which the router was never sent
+		p.versions = maps.Clone(p.has.versions)
+		p.versions["member/b31"] = pieceVersion(split(m.next.Body)["member/b31"]) // which the router was never sent
+		p.has = nil
 	}
 	if err := p.send(m.next, "bad"); err != nil {
 		return err
@@ -445,3 +459,138 @@
 		}
 	}
 }
+
+// A version that never ends is bounded by the size of a message, and the router
+// goes on with what it has; the service may be slow, and is followed all the same.
+func TestEndlessAndSlow(t *testing.T) {
+	both(t, func(t *testing.T, full bool) {
+		m := &memory{}
+		s, addr := serve(t, "127.0.0.1:0", m, 50)
+		r := follow(t, full, "r", 1, nil, addr)
+		s.Push(body(3, ""), true)
+		eventually(t, "version 1", all([]*router{r}, 1))
+		s.Push(body(3, "; "+strings.Repeat("x", 33<<20)), true)
+		eventually(t, "the turn-down", func() bool { return r.told("larger than max") })
+		if n, _ := r.Running(); n != 1 {
+			t.Fatalf("runs %d", n)
+		}
+		s.Push(body(4, ""), true)
+		eventually(t, "the next", all([]*router{r}, 3))
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		go drip(ln, addr)
+		slow := follow(t, full, "slow", 2, nil, ln.Addr().String())
+		eventually(t, "a version that drips", all([]*router{slow}, 3))
+	})
+}
+
+// drip passes bytes on a few at a time.
+func drip(ln net.Listener, to string) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		u, err := net.Dial("tcp", to)
+		if err != nil {
+			c.Close()
+			return
+		}
+		pass := func(dst, src net.Conn) {
+			defer dst.Close()
+			buf := make([]byte, 64)
+			for {
+				n, err := src.Read(buf)
+				if n > 0 {
+					time.Sleep(5 * time.Millisecond)
+					dst.Write(buf[:n])
+				}
+				if err != nil {
+					return
+				}
+			}
+		}
+		go pass(c, u)
+		go pass(u, c)
+	}
+}
+
+func (r *router) told(what string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.said {
+		if strings.Contains(s, what) {
+			return true
+		}
+	}
+	return false
+}
+
+// A service that comes and goes every moment: the routers neither lose what they
+// run nor take anything twice.
+func TestFlappingService(t *testing.T) {
+	both(t, func(t *testing.T, full bool) {
+		m := &memory{}
+		s, addr := serve(t, "127.0.0.1:0", m, 50)
+		var routers []*router
+		for i := range 5 {
+			routers = append(routers, follow(t, full, fmt.Sprint("r", i), uint64(i), nil, addr))
+		}
+		s.Push(body(3, ""), true)
+		eventually(t, "version 1", all(routers, 1))
+		for i := range 8 {
+			s.Stop()
+			time.Sleep(20 * time.Millisecond)
+			if !all(routers, 1)() {
+				t.Fatalf("flap %d: not all run version 1", i)
+			}
+			s, _ = serve(t, addr, m, 50)
+			time.Sleep(30 * time.Millisecond)
+		}
+		for _, r := range routers {
+			if n := r.uses.Load(); n != 1 {
+				t.Errorf("version 1 was used %d times", n)
+			}
+		}
+		s.Push(body(4, ""), true)
+		eventually(t, "version 2", all(routers, 2))
+	})
+}
+
+// Two services that disagree: whoever is in charge stays so while it is heard of,
+// also when the stream of one of them breaks, and the routers don't flap.
+func TestTwoServicesDisagree(t *testing.T) {
+	a, addrA := serve(t, "127.0.0.1:0", &memory{}, 50)
+	other := &memory{}
+	b := NewServer(ServerConfig{Name: "other", Keep: other, Tick: 10 * time.Millisecond, PerSecond: 2000})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go b.Serve(ln)
+	defer b.Stop()
+	a.Push(body(3, ""), true)
+	for i := range 20 {
+		b.Push(body(5+i%2, ""), true)
+	}
+	lease := 3 * time.Second
+	r := followFor(t, AgentConfig{Router: "r", Services: []string{addrA, ln.Addr().String()}, Alive: 50 * time.Millisecond,
+		Fleet: fleet.Settings{Spread: 50, Lease: float64(lease.Milliseconds())}})
+	eventually(t, "version 1 of the first", all([]*router{r}, 1))
+	a.Stop()
+	gone := time.Now()
+	eventually(t, "the word of the other", func() bool { st := b.Status().Routers; return len(st) == 1 && st[0].Refused == 20 })
+	if n, _ := r.Running(); n != 1 {
+		t.Errorf("flapped to %d while the first was silent for less than its lease", n)
+	}
+	if st := b.Status().Routers; !strings.Contains(strings.Join(st[0].Reasons, " "), "is in charge") {
+		t.Errorf("the other is told %q", st[0].Reasons)
+	}
+	eventually(t, "the other in charge", all([]*router{r}, 20))
+	if took := time.Since(gone); took < lease*9/10 {
+		t.Errorf("the other was believed after %v", took)
+	}
+}
--- a/internal/control/delta.go
+++ b/internal/control/delta.go
@@ -9,6 +9,7 @@
 
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/types/known/anypb"
 
 	"indigospool/internal/fleet"
 )
@@ -20,16 +21,128 @@
 // the two never disagree; if they did all the same, the checksum would tell, and
 // the router begins its stream anew with nothing.
 
+// cut is a version in pieces, made once for all streams.
+type cut struct {
+	sum       string
+	whole     *anypb.Any
+	pieces    map[string]string
+	versions  map[string]string // of the pieces
+	resources map[string]*discovery.Resource
+
+	mu   sync.Mutex
+	from map[*cut]*difference // from others that many routers have
+}
+
+// difference is what leads from some pieces to a cut.
+type difference struct {
+	resources []*discovery.Resource
+	removed   []string
+}
+
+// cutter keeps the last cuts.
+type cutter struct {
+	mu   sync.Mutex
+	cuts []*cut // the newest last
+}
+
+const cutsKept = 8
+
+// cut is a version's.
+func (k *cutter) cut(v fleet.Version) (*cut, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range k.cuts {
+		if c.sum == v.Sum {
+			return c, nil
+		}
+	}
+	c := &cut{sum: v.Sum, pieces: split(v.Body), resources: map[string]*discovery.Resource{}, from: map[*cut]*difference{}}
+	c.versions = pieceVersions(c.pieces)
+	var err error
+	if c.whole, err = pack(v.Body); err != nil {
+		return nil, err
+	}
+	for name, text := range c.pieces {
+		a, err := pack([]byte(text))
+		if err != nil {
+			return nil, err
+		}
+		c.resources[name] = &discovery.Resource{Name: name, Version: c.versions[name], Resource: a}
+	}
+	if len(k.cuts) >= cutsKept {
+		old := k.cuts[0]
+		k.cuts = append([]*cut(nil), k.cuts[1:]...)
+		for _, other := range k.cuts {
+			other.forget(old)
+		}
+	}
+	k.cuts = append(k.cuts, c)
+	return c, nil
+}
+
+// known is the kept cut with just these pieces, nil where there is none.
+func (k *cutter) known(versions map[string]string) *cut {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range k.cuts {
+		if maps.Equal(c.versions, versions) {
+			return c
+		}
+	}
+	return nil
+}
+
+func (c *cut) forget(other *cut) {
+	c.mu.Lock()
+	delete(c.from, other)
+	c.mu.Unlock()
+}
+
+// since is what leads to the cut from what a router has: a cut, or pieces of
+// these versions.
+func (c *cut) since(has *cut, versions map[string]string) *difference {
+	if has != nil {
+		versions = has.versions
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if d := c.from[has]; d != nil {
+			return d
+		}
+	}
+	d := &difference{}
+	for name, r := range c.resources {
+		if versions[name] != r.Version {
+			d.resources = append(d.resources, r)
+		}
+	}
+	for name := range versions {
+		if _, is := c.versions[name]; !is {
+			d.removed = append(d.removed, name)
+		}
+	}
+	sort.Slice(d.resources, func(i, j int) bool { return d.resources[i].Name < d.resources[j].Name })
+	sort.Strings(d.removed)
+	if has != nil {
+		if len(c.from) > 4*cutsKept {
+			clear(c.from)
+		}
+		c.from[has] = d
+	}
+	return d
+}
+
 // deltaPeer is a router's stream by the incremental protocol.
 type deltaPeer struct {
 	g    grpc.BidiStreamingServer[discovery.DeltaDiscoveryRequest, discovery.DeltaDiscoveryResponse]
+	cuts *cutter
 	sent nonces
 
-	mu      sync.Mutex
-	has     map[string]string // versions of the pieces that the router has accepted
-	pending map[string]string // and of those on their way
-	nonce   string            // of these
-	free    chan struct{}     // of one: nothing is on its way
+	mu       sync.Mutex
+	has      *cut              // what the router has accepted, where it is a kept cut
+	versions map[string]string // and else the versions of its pieces
+	pending  *cut              // on its way
+	nonce    string            // of that
+	free     chan struct{}     // of one: nothing is on its way
 }
 
 func (p *deltaPeer) hello() (joining, error) {
@@ -37,8 +150,11 @@
 	if err != nil {
 		return joining{}, err
 	}
-	p.has, p.free = r.GetInitialResourceVersions(), make(chan struct{}, 1)
+	p.free = make(chan struct{}, 1)
 	p.free <- struct{}{}
+	if p.has = p.cuts.known(r.GetInitialResourceVersions()); p.has == nil {
+		p.versions = r.GetInitialResourceVersions()
+	}
 	j := joining{router: r.GetNode().GetId(), running: acceptedBy(r.GetNode())}
 	return j, firstFault(j.router, r.GetTypeUrl())
 }
@@ -49,34 +165,16 @@
 	case <-p.g.Context().Done():
 		return p.g.Context().Err()
 	}
-	pieces := split(v.Body)
-	out := &discovery.DeltaDiscoveryResponse{SystemVersionInfo: versionInfo(v), TypeUrl: SettingsType,
-		ControlPlane: controlPlane(service)}
-	p.mu.Lock()
-	p.pending = pieceVersions(pieces)
-	var names []string
-	for name, version := range p.pending {
-		if p.has[name] != version {
-			names = append(names, name)
-		}
-	}
-	for name := range p.has {
-		if p.pending[name] == "" {
-			out.RemovedResources = append(out.RemovedResources, name)
-		}
+	c, err := p.cuts.cut(v)
+	if err != nil {
+		return err
 	}
-	p.nonce = p.sent.next(v.Number)
-	out.Nonce = p.nonce
+	p.mu.Lock()
+	d := c.since(p.has, p.versions)
+	p.pending, p.nonce = c, p.sent.next(v.Number)
+	out := &discovery.DeltaDiscoveryResponse{SystemVersionInfo: versionInfo(v), TypeUrl: SettingsType, Nonce: p.nonce,
+		Resources: d.resources, RemovedResources: d.removed, ControlPlane: controlPlane(service)}
 	p.mu.Unlock()
-	sort.Strings(names)
-	sort.Strings(out.RemovedResources)
-	for _, name := range names {
-		a, err := pack([]byte(pieces[name]))
-		if err != nil {
-			return err
-		}
-		out.Resources = append(out.Resources, &discovery.Resource{Name: name, Version: pieceVersion(pieces[name]), Resource: a})
-	}
 	return p.g.Send(out)
 }
 
@@ -86,19 +184,17 @@
 		return answer{}, false, err
 	}
 	number, known := p.sent.number(r.GetResponseNonce())
-	if !known {
-		return answer{}, false, nil
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r.GetResponseNonce() != p.nonce {
+	if !known || r.GetResponseNonce() != p.nonce {
 		return answer{}, false, nil
 	}
 	p.nonce = ""
 	d := r.GetErrorDetail()
 	if d == nil {
-		p.has = p.pending
+		p.has, p.versions = p.pending, nil
 	}
+	p.pending = nil
 	p.free <- struct{}{}
 	return answer{number, detailLines(d)}, true, nil
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -49,6 +49,7 @@
 	grpc *grpc.Server
 	done chan struct{}
 	once sync.Once
+	cuts cutter
 
 	mu      sync.Mutex
 	rollout *fleet.Rollout
@@ -258,12 +259,12 @@
 
 // StreamAggregatedResources is a router's stream by state of the world.
 func (s *Server) StreamAggregatedResources(g grpc.BidiStreamingServer[discovery.DiscoveryRequest, discovery.DiscoveryResponse]) error {
-	return s.stream(g.Context(), &sotwPeer{g: g})
+	return s.stream(g.Context(), &sotwPeer{g: g, cuts: &s.cuts})
 }
 
 // DeltaAggregatedResources is a router's stream by the incremental protocol.
 func (s *Server) DeltaAggregatedResources(g grpc.BidiStreamingServer[discovery.DeltaDiscoveryRequest, discovery.DeltaDiscoveryResponse]) error {
-	return s.stream(g.Context(), &deltaPeer{g: g})
+	return s.stream(g.Context(), &deltaPeer{g: g, cuts: &s.cuts})
 }
 
 // stream serves a router's stream, to its end.
--- a/internal/control/sotw.go
+++ b/internal/control/sotw.go
@@ -46,6 +46,7 @@
 // sotwPeer is a router's stream by state of the world.
 type sotwPeer struct {
 	g    grpc.BidiStreamingServer[discovery.DiscoveryRequest, discovery.DiscoveryResponse]
+	cuts *cutter
 	sent nonces
 }
 
@@ -75,12 +76,12 @@
 }
 
 func (p *sotwPeer) send(v fleet.Version, service string) error {
-	a, err := pack(v.Body)
+	c, err := p.cuts.cut(v)
 	if err != nil {
 		return err
 	}
 	return p.g.Send(&discovery.DiscoveryResponse{VersionInfo: versionInfo(v), TypeUrl: SettingsType,
-		Nonce: p.sent.next(v.Number), Resources: []*anypb.Any{a}, ControlPlane: controlPlane(service)})
+		Nonce: p.sent.next(v.Number), Resources: []*anypb.Any{c.whole}, ControlPlane: controlPlane(service)})
 }
 
 func (p *sotwPeer) recv() (answer, bool, error) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -178,6 +178,10 @@
 // Wake asks for a Tick after a while; it takes the place of any before it.
 type Wake struct{ In Millis }
 
+// Ask has a service offer its version again: it was turned down while another
+// was in charge, which has been silent for its lease since.
+type Ask struct{ Service string }
+
 // Warn is for the operator.
 type Warn struct{ Text string }
 
@@ -187,6 +191,7 @@
 func (Use) action()   {}
 func (Wake) action()  {}
 func (Warn) action()  {}
+func (Ask) action()   {}
 
 // State is how far a version has come at this router.
 type State int
@@ -239,6 +244,7 @@
 	floorSum string
 	holder   string // the service in charge
 	heard    Millis // of it
+	suitor   string // a service that was turned down since it is not in charge
 	warned   bool
 	restored bool
 	records  map[int64]*Record
@@ -399,7 +405,7 @@
 		}
 		m.holder = service
 	}
-	m.heard = m.now
+	m.heard, m.suitor = m.now, ""
 	return true
 }
 
@@ -414,6 +420,7 @@
 		m.do(Nack{ev.Service, v.Number, reasons})
 	}
 	if !m.sign(ev.Service) {
+		m.suitor = ev.Service
 		m.do(Nack{ev.Service, v.Number, []Reason{{"", fmt.Sprintf("service %s is in charge, heard of %.1f s ago", m.holder,
 			(m.now-m.heard)/1000), "let one service speak; another is believed when that one is silent"}}})
 		return
@@ -520,6 +527,14 @@
 	if m.holder != "" && m.now-m.heard < m.set.Old {
 		m.since = max(m.since, m.heard)
 	}
+	if m.suitor != "" {
+		if left := m.heard + m.set.Lease - m.now; left > 0 {
+			next = min(next, left)
+		} else {
+			m.do(Ask{m.suitor})
+			m.suitor = ""
+		}
+	}
 	age := m.now - m.since
 	switch {
 	case m.current.Number == 0:
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -171,7 +171,13 @@
 	}
 	s.tell(Cut{"a"}).pass(28000)
 	s.offer("b", New(30, body("ss", "ssss", ""))).wantNack("in charge")
+	if has[Ask](s, nil) {
+		t.Error("the other service is asked again while one is in charge")
+	}
 	s.pass(2000)
+	if !has(s, func(a Ask) bool { return a.Service == "b" }) {
+		t.Errorf("who was turned down is not asked again: %+v", s.acts)
+	}
 	s.offer("b", New(31, body("ss", "ssss", ""))).wantAck(31)
 	if !has(s, func(w Warn) bool { return strings.Contains(w.Text, "service b is in charge now") }) {
 		t.Errorf("the change of services is not told: %+v", s.acts)
--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -16,6 +16,7 @@
 	Refused  float64   // halted when more than this share of a stage's routers refuse; default 0: any
 	Silent   float64   // share of a stage's routers that may stay without an answer; default 0.05
 	Fall     float64   // halted when service at its routers falls by more than this against the others; default 0.05
+	Again    Millis    // a router that refused what is everybody's is offered it again after so long; default 60000
 	Asked    float64   // requests that such a comparison needs on either side, before and since; default 200
 }
 
@@ -35,6 +36,9 @@
 	if s.Fall <= 0 {
 		s.Fall = 0.05
 	}
+	if s.Again <= 0 {
+		s.Again = 60000
+	}
 	if s.Asked <= 0 {
 		s.Asked = 200
 	}
@@ -125,6 +129,7 @@
 	running int64 // last accepted
 	refused int64
 	reasons []string
+	at      Millis // of the refusal
 	before  tally // of service, of late, when the present rollout began
 	since   tally // since then
 }
@@ -222,7 +227,9 @@
 		}
 	case Nacked:
 		s := r.seat(ev.Router)
-		s.refused, s.reasons = ev.Number, ev.Reasons
+		s.refused, s.reasons, s.at = ev.Number, ev.Reasons, r.now
+	case Pass:
+		r.again()
 	case Report:
 		s, t := r.seat(ev.Router), tally{max(ev.Served, 0), max(ev.Asked, 0)}
 		if r.st.Next.Number > 0 {
@@ -309,6 +316,17 @@
 	r.do(Offer{id, v})
 }
 
+// again offers what is everybody's to those who refused it a while ago: a full
+// disk, or another service in charge, may be of the past.
+func (r *Rollout) again() {
+	for id, s := range r.routers {
+		if s.joined && s.refused > 0 && s.refused == r.st.Base.Number && s.running < s.refused && r.now-s.at >= r.set.Again {
+			s.offered, s.at = 0, r.now
+			r.offer(id)
+		}
+	}
+}
+
 // place is where a router stands in the order of a version's stages, from 0 to
 // 1: another for each version, so that not always the same go first.
 func (r *Rollout) place(id string) float64 {
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -302,6 +302,23 @@
 	})
 }
 
+// A router whose disk was full for a while comes level by itself.
+func TestOfferedAgain(t *testing.T) {
+	s := newService(t, 6)
+	s.tell(Push{Body: good})
+	s.refuse["r003"] = true
+	s.tell(Push{Body: body("ssss", "ssss", ""), Force: true})
+	s.pass(10000)
+	if n := s.running(); n[2] != 5 {
+		t.Fatalf("%v", n)
+	}
+	clear(s.refuse)
+	s.pass(65000)
+	if n := s.running(); n[2] != 6 {
+		t.Errorf("%v", n)
+	}
+}
+
 // Not always the same routers go first.
 func TestFirstRoutersVary(t *testing.T) {
 	s := newService(t, 50)
