--- a/cmd/spool-bench/main.go
+++ b/cmd/spool-bench/main.go
@@ -90,6 +90,7 @@
 	mem.Flags().StringSliceVar(&idlers, "proxies", []string{"spool", "reverseproxy", "fasthttp"}, "what to measure")
 	var fleets []int
 	var versions, rate, windows int
+	var perSecond float64
 	fleet := &cobra.Command{Use: "fleet", Short: "Versions from one control service to many routers' machines, over real streams", Args: cobra.NoArgs,
 		Example: "  spool-bench fleet --routers 30,300,1000",
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -104,7 +105,7 @@
 			}
 			for _, full := range []bool{true, false} {
 				for _, n := range fleets {
-					r, err := bench.Fleet(c.Context(), []string{self, "child"}, n, versions, full)
+					r, err := bench.Fleet(c.Context(), []string{self, "child"}, n, versions, perSecond, full)
 					if err != nil {
 						return err
 					}
@@ -122,6 +123,7 @@
 			return nil
 		}}
 	fleet.Flags().IntSliceVar(&fleets, "routers", []int{30, 300, 1000}, "sizes of the fleet")
+	fleet.Flags().Float64Var(&perSecond, "per-second", 500, "streams that may begin in a second")
 	fleet.Flags().IntVar(&versions, "versions", 10, "how many, each after the one before is in use")
 	path := &cobra.Command{Use: "versions", Short: "What requests wait with a version a second and without, in turn", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -47,7 +48,7 @@
 func serveControl(store string) error {
 	var s control.ServiceSettings
 	if err := config.Read("bench", fmt.Sprintf(`(service (name bench) (listen "127.0.0.1:0") (admin "127.0.0.1:0") (store %q)
-		(streams 10000) (per-second 500)) (checks (box-churn 1) (parent-churn 1))`, store), &s); err != nil {
+		(streams 10000) (per-second %s)) (checks (box-churn 1) (parent-churn 1))`, store, cmp.Or(os.Getenv(paceEnv), "500")), &s); err != nil {
 		return err
 	}
 	if old := os.Getenv(addressEnv); old != "" {
@@ -65,6 +66,7 @@
 	return nil
 }
 
+const paceEnv = "SPOOL_BENCH_STREAMS"      // that may begin in a second
 const addressEnv = "SPOOL_BENCH_ADDRESSES" // where a service that starts again is to listen
 
 // fleetText is settings of a size that users have: 120 caches in 24 zones, 8
@@ -110,7 +112,7 @@
 // Fleet has so many routers' machines, in this process, follow one service, a
 // process of its own, over real streams, and brings them versions that differ
 // in one member.
-func Fleet(ctx context.Context, self []string, routers, versions int, full bool) (r FleetResult, err error) {
+func Fleet(ctx context.Context, self []string, routers, versions int, perSecond float64, full bool) (r FleetResult, err error) {
 	r = FleetResult{Routers: routers, Protocol: "delta", Versions: versions}
 	if full {
 		r.Protocol = "full"
@@ -121,6 +123,8 @@
 	}
 	defer os.RemoveAll(dir)
 	store := filepath.Join(dir, "c.db")
+	os.Setenv(paceEnv, fmt.Sprint(perSecond))
+	defer os.Unsetenv(paceEnv)
 	m, err := StartChild(ctx, self, "control", store)
 	if err != nil {
 		return r, err
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -104,7 +105,9 @@
 func followFor(t testing.TB, c AgentConfig) *router {
 	r := &router{}
 	c.Backoff = 20 * time.Millisecond
-	c.Dial = []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}
+	if c.Dial == nil {
+		c.Dial = []grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}
+	}
 	c.Use = func(fleet.Use) { r.uses.Add(1) }
 	c.Warn = func(s string) { r.mu.Lock(); r.said = append(r.said, s); r.mu.Unlock() }
 	r.Agent = StartAgent(c)
@@ -594,3 +597,53 @@
 		t.Errorf("the other was believed after %v", took)
 	}
 }
+
+// A router that is killed between its word and its use runs what it gave its
+// word on; one killed before it was on disk never gave it, and is offered it again.
+func TestKilledBetween(t *testing.T) {
+	both(t, func(t *testing.T, full bool) {
+		s, addr := serve(t, "127.0.0.1:0", &memory{}, 50)
+		dir := t.TempDir()
+		path, before := filepath.Join(dir, "good.db"), filepath.Join(dir, "before.db")
+		begin := func(path string, spread float64) (*router, *lastgood.Store) {
+			store, err := lastgood.Open(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return followFor(t, AgentConfig{Router: "r", Services: []string{addr}, Store: store, Full: full,
+				Fleet: fleet.Settings{Spread: spread}}), store
+		}
+		s.Push(body(3, ""), true)
+		r, store := begin(path, 3.6e6)
+		eventually(t, "version 1", all([]*router{r}, 1))
+		r.Close()
+		store.Close()
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		os.WriteFile(before, b, 0o600)
+		r, store = begin(path, 3.6e6)
+		s.Push(body(4, ""), true)
+		eventually(t, "the word on version 2", func() bool { return s.Status().Routers[0].Running == 2 })
+		if n, _ := r.Running(); n != 1 {
+			t.Fatalf("version %d is in use before its time", n)
+		}
+		r.Close()
+		store.Close()
+		s.Stop()
+		r, store = begin(path, 3.6e6)
+		defer store.Close()
+		if n, _ := r.Running(); n != 2 {
+			t.Errorf("killed between disk and use: runs %d", n)
+		}
+		r.Close()
+		s, _ = serve(t, addr, &memory{state: s.Status().State}, 50)
+		r, store = begin(before, 50)
+		defer store.Close()
+		if n, _ := r.Running(); n != 1 {
+			t.Errorf("killed before the disk: runs %d", n)
+		}
+		eventually(t, "version 2, offered again", all([]*router{r}, 2))
+	})
+}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -33,6 +33,9 @@
 	if router == "" {
 		return status.Error(codes.InvalidArgument, "control: the first report names no node id")
 	}
+	if err := named(g.Context(), router); err != nil {
+		return err
+	}
 	if err := g.Send(&load.LoadStatsResponse{Clusters: []string{cluster}, LoadReportingInterval: durationpb.New(s.cfg.Reports)}); err != nil {
 		return err
 	}
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -54,6 +54,10 @@
 		return nil, &RefusedLines{r.Reasons}
 	}
 	if res.StatusCode != http.StatusOK {
+		var r PushResult
+		if json.Unmarshal(b, &r) == nil && r.Error != "" {
+			return nil, fmt.Errorf("control: %s", r.Error)
+		}
 		return nil, fmt.Errorf("control: the service answers %s: %s", res.Status, bytes.TrimSpace(b))
 	}
 	return b, nil
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -275,6 +275,12 @@
 	if err != nil {
 		return err
 	}
+	if err := named(ctx, first.router); err != nil {
+		s.mu.Lock()
+		s.note("%v", err)
+		s.mu.Unlock()
+		return err
+	}
 	if err := s.pace(ctx); err != nil {
 		return err
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -302,7 +302,7 @@
 	}
 	v, _, err := s.store.Version(to)
 	if err != nil {
-		answerJSON(w, http.StatusNotFound, PushResult{Error: fmt.Sprintf("version %d is not kept: %v", to, err)})
+		answerJSON(w, http.StatusNotFound, PushResult{Error: fmt.Sprintf("version %d is not kept; see spool-control versions", to)})
 		return
 	}
 	number, err := s.Push(v.Body, r.URL.Query().Has("now"))
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+	"google.golang.org/grpc"
 
 	"indigospool/internal/config"
 	"indigospool/internal/lastgood"
@@ -331,3 +332,29 @@
 		t.Errorf("%v, %+v", err, s.Status().State)
 	}
 }
+
+// A service as a program runs it, with certificates.
+func TestServiceWithCertificates(t *testing.T) {
+	dir := t.TempDir()
+	a := newAuthority(t, "good")
+	k := a.keys(dir, "svc", "control", time.Hour)
+	s, err := startService(dir, fmt.Sprintf("(cert %q) (key %q) (authorities %q)", k.Cert, k.Key, k.Authorities), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, _, err := s.Offer([]config.Source{{File: "x", Text: string(body(3, ""))}}, true); err != nil {
+		t.Fatal(err)
+	}
+	plain := follow(t, false, "plain", 1, nil, s.Addr())
+	r := followFor(t, AgentConfig{Router: "r", Services: []string{s.Addr()},
+		Dial: []grpc.DialOption{grpc.WithTransportCredentials(a.keys(dir, "r", "r", time.Hour).Client("control"))}})
+	eventually(t, "the version over TLS", all([]*router{r}, 1))
+	if n, _ := plain.Running(); n != 0 {
+		t.Error("a router without a certificate got a version")
+	}
+	if _, err := startService(t.TempDir(), `(cert "none.pem") (key "none.key") (authorities "none.ca")`, zap.NewNop()); err == nil ||
+		!strings.Contains(err.Error(), "none.pem") {
+		t.Errorf("files that are not there: %v", err)
+	}
+}
--- a/internal/control/tls.go
+++ b/internal/control/tls.go
@@ -1,15 +1,20 @@
 package control
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	grpcpeer "google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
 )
 
 // Keys are the files of one side's certificate, its key, and the authorities
@@ -136,6 +141,25 @@
 		}})
 }
 
+// named checks that a router's certificate, where the channel has one, is its own:
+// whoever holds one router's key must not speak for others.
+func named(ctx context.Context, router string) error {
+	p, ok := grpcpeer.FromContext(ctx)
+	if !ok {
+		return nil
+	}
+	info, ok := p.AuthInfo.(credentials.TLSInfo)
+	if !ok || len(info.State.PeerCertificates) == 0 {
+		return nil
+	}
+	leaf := info.State.PeerCertificates[0]
+	if leaf.Subject.CommonName == router || slices.Contains(leaf.DNSNames, router) {
+		return nil
+	}
+	return status.Errorf(codes.PermissionDenied, "control: a certificate of %q, with names %q, does not speak for router %q",
+		leaf.Subject.CommonName, leaf.DNSNames, router)
+}
+
 // Client are a router's credentials for a service of the given name.
 func (k *Keys) Client(service string) credentials.TransportCredentials {
 	return credentials.NewTLS(&tls.Config{MinVersion: tls.VersionTLS13, ServerName: service,
--- a/internal/control/tls_test.go
+++ b/internal/control/tls_test.go
@@ -95,7 +95,7 @@
 	s.Push(body(3, ""), true)
 	connect := func(k *Keys, service string) *router {
 		r := &router{}
-		r.Agent = StartAgent(AgentConfig{Router: filepath.Base(k.Cert), Services: []string{ln.Addr().String()}, Backoff: 20 * time.Millisecond,
+		r.Agent = StartAgent(AgentConfig{Router: strings.TrimSuffix(filepath.Base(k.Cert), ".pem"), Services: []string{ln.Addr().String()}, Backoff: 20 * time.Millisecond,
 			Dial: []grpc.DialOption{grpc.WithTransportCredentials(k.Client(service))},
 			Use:  func(fleet.Use) { r.uses.Add(1) },
 			Warn: func(s string) { r.mu.Lock(); r.said = append(r.said, s); r.mu.Unlock() }})
@@ -129,6 +129,11 @@
 		}
 		bad.Close()
 	}
+	// a good certificate speaks for its own router only
+	posing := followFor(t, AgentConfig{Router: "r9", Services: []string{ln.Addr().String()},
+		Dial: []grpc.DialOption{grpc.WithTransportCredentials(good.keys(dir, "r1", "r1", time.Hour).Client("control.example.org"))}})
+	eventually(t, "another router's name", heard(posing, `does not speak for router "r9"`))
+	posing.Close()
 	// the expired router gets a new certificate, and comes in without a restart
 	late := good.keys(dir, "r5", "r5", -time.Hour)
 	r5 := connect(late, "control.example.org")
--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -130,8 +130,8 @@
 	refused int64
 	reasons []string
 	at      Millis // of the refusal
-	before  tally // of service, of late, when the present rollout began
-	since   tally // since then
+	before  tally  // of service, of late, when the present rollout began
+	since   tally  // since then
 }
 
 // tally counts requests, and those that were served in time.
