--- a/internal/day/proc.go
+++ b/internal/day/proc.go
@@ -69,18 +69,25 @@
 	return nil
 }
 
-func childRouter() error {
+// readSettings reads the settings on a machine's standard input; the rest of it
+// ends with the day.
+func readSettings(into any) (rest io.Reader, err error) {
 	in := bufio.NewReader(os.Stdin)
-	line, err := in.ReadString('\n')
+	line, err := in.ReadBytes('\n')
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var text string
-	if err := json.Unmarshal([]byte(line), &text); err != nil {
-		return err
+	if err := json.Unmarshal(line, &text); err != nil {
+		return nil, err
 	}
+	return in, config.Read("day", text, into)
+}
+
+func childRouter() error {
 	var s config.Settings
-	if err := config.Read("day", text, &s); err != nil {
+	in, err := readSettings(&s)
+	if err != nil {
 		return err
 	}
 	log, err := edge.NewAccessLog(&s)
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -628,20 +628,8 @@
 	if err != nil {
 		return err
 	}
-	res, err := d.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	if err != nil {
-		return err
-	}
-	if res.StatusCode/100 != 2 {
-		return fmt.Errorf("day: %s%s: %s", m.cfg.ID, path, body)
-	}
-	if out != nil {
-		return json.Unmarshal(body, out)
+	if err := fetchJSON(d.http, req, out); err != nil {
+		return fmt.Errorf("day: %s: %w", m.cfg.ID, err)
 	}
 	return nil
 }
--- a/internal/day/versions.go
+++ b/internal/day/versions.go
@@ -1,7 +1,6 @@
 package day
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -94,17 +93,9 @@
 // it sends: a version that does not pass the checks tells of no members, since
 // no router may go by it.
 func childControl() error {
-	in := bufio.NewReader(os.Stdin)
-	line, err := in.ReadString('\n')
-	if err != nil {
-		return err
-	}
-	var text string
-	if err := json.Unmarshal([]byte(line), &text); err != nil {
-		return err
-	}
 	var set control.ServiceSettings
-	if err := config.Read("day", text, &set); err != nil {
+	in, err := readSettings(&set)
+	if err != nil {
 		return err
 	}
 	out := tap.NewWriter(os.Stdout)
@@ -417,18 +408,23 @@
 	return nil
 }
 
-// changeAll pushes another limit to all at once and waits until all run it: also
+// change pushes another limit to all at once and waits until all run it: also
 // those whose streams have yet to begin again.
-func (c *controlled) changeAll(ctx context.Context, name, since string) error {
-	began := tap.Now()
+func (c *controlled) change(ctx context.Context) (int64, error) {
 	c.mu.Lock()
 	c.held++
 	c.mu.Unlock()
 	n, err := c.push(ctx, c.text(nil), url.Values{"now": {"1"}, "unchecked": {"1"}})
-	if err != nil {
-		return err
+	if err == nil {
+		_, err = c.level(ctx, n)
 	}
-	if _, err := c.level(ctx, n); err != nil {
+	return n, err
+}
+
+func (c *controlled) changeAll(ctx context.Context, name, since string) error {
+	began := tap.Now()
+	n, err := c.change(ctx)
+	if err != nil {
 		return err
 	}
 	c.done(name, fmt.Sprintf("a change is everywhere (version %d) %s", n, since), tap.Now()-began)
@@ -528,16 +524,10 @@
 	if err := c.start(ctx); err != nil {
 		return err
 	}
-	c.mu.Lock()
-	c.held++
-	c.mu.Unlock()
-	n, err := c.push(ctx, c.text(nil), url.Values{"now": {"1"}, "unchecked": {"1"}})
+	n, err := c.change(ctx)
 	if err != nil {
 		return err
 	}
-	if _, err := c.level(ctx, n); err != nil {
-		return err
-	}
 	c.proc.kill()
 	if err := os.Rename(backup, c.store); err != nil {
 		return err
@@ -549,16 +539,13 @@
 		return err
 	}
 	began := tap.Now()
-	m, err := c.push(ctx, c.text(nil), url.Values{"now": {"1"}, "unchecked": {"1"}})
+	m, err := c.change(ctx)
 	if err != nil {
 		return err
 	}
 	if m <= n {
 		return fmt.Errorf("the service that came back with its past gives number %d; routers have accepted %d", m, n)
 	}
-	if _, err := c.level(ctx, m); err != nil {
-		return err
-	}
 	c.done(name, fmt.Sprintf("version %d everywhere from a service that had forgotten %d", m, n), tap.Now()-began)
 	return nil
 }
