--- a/api.go
+++ b/api.go
@@ -233,6 +233,41 @@
 func (Message) event()   {}
 func (Resettled) event() {}
 
+// Reason says why a member was not taken for an attempt.
+type Reason int
+
+// The reasons.
+const (
+	Taken     Reason = iota
+	OverBound        // it holds more than its share; it may be taken in a later pass
+	LetDown          // it let the request down before; it may be taken in a later pass
+	Passed           // looked at in an earlier pass already
+	NotGroup         // outside of the group that drops the request's repeats
+	Out              // it drains or is gone
+	Suspect          // and not due for a trial, or not by this request
+	GateFull         // it holds as much as it is thought to bear
+	ColdSpent        // it is cold, and its budget is spent
+	LinkFull         // the location's link bears no further fill now
+	NoBudget         // the request may make no further attempt
+	NoMember         // there is nobody to ask
+)
+
+// Look is one member that a choice looked at, in the order of looking. Member is
+// empty of what concerns the request as such.
+type Look struct {
+	Request, Member string
+	Source          bool // as a source, not as the cache
+	Pass            int  // the first is 0
+	Why             Reason
+}
+
+// Range is a cache's range of part indices: From, up to but not with To; To 0:
+// all from there on.
+type Range struct {
+	Cache    string
+	From, To int
+}
+
 // Action is one thing that a router wants done.
 type Action interface{ action() }
 
--- a/cmd/spool-replay/main.go
+++ b/cmd/spool-replay/main.go
@@ -30,7 +30,7 @@
 			}
 			defer j.Close()
 			began := time.Now()
-			r, err := replay.Run(j)
+			r, err := replay.Run(j, nil)
 			if err != nil {
 				return &cli.FoundError{Err: err}
 			}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -50,7 +50,14 @@
 	case "server":
 		return serveHeld()
 	case "spool":
-		return serveSpool(backend)
+		return serveSpool(backend, "")
+	case "spool-journal": // with a journal of its decisions
+		dir, err := os.MkdirTemp("", "spool-bench-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		return serveSpool(backend, fmt.Sprintf("(journal %q)", dir))
 	case "control":
 		return serveControl(backend)
 	case "follower":
@@ -98,10 +105,10 @@
 	return nil
 }
 
-func serveSpool(backend string) error {
-	text := fmt.Sprintf(`(router (zone z) (listen "127.0.0.1:0") (log none))
+func serveSpool(backend, more string) error {
+	text := fmt.Sprintf(`(router (zone z) (listen "127.0.0.1:0") (log none) %s)
 		(limits (upstream 4096)) (fill (flow 1000)) (class c (deadline 6000)) (route "/s/{group}/{object}" (class c))
-		(member b (zone z) (address %q))`, backend)
+		(member b (zone z) (address %q))`, more, backend)
 	var s config.Settings
 	if err := config.Read("bench", text, &s); err != nil {
 		return err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -152,6 +152,13 @@
 	return dst
 }
 
+// Explain has f hear of what each choice of the module looks at, while it is made;
+// nil ends that.
+func (c *Core) Explain(f func(spool.Look)) { c.router.Explain(f) }
+
+// Ranges are the caches' ranges of part indices.
+func (c *Core) Ranges() []spool.Range { return c.router.Ranges() }
+
 // Address is where a member is reached; empty when it was never listed with one.
 func (c *Core) Address(id string) string {
 	if m := c.members[id]; m != nil {
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -74,7 +74,7 @@
 		if err != nil {
 			return nil, err
 		}
-		r, err := replay.Run(j)
+		r, err := replay.Run(j, nil)
 		j.Close()
 		if err != nil {
 			return nil, fmt.Errorf("day: journal of %s: %w", name, err)
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,457 @@
+// Package explain tells why a request went where it did. It replays a router's
+// journal and listens to the decision module while it decides (Core.Explain):
+// what it tells is the decision itself, never another computation of it.
+package explain
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	spool "indigospool"
+	"indigospool/internal/core"
+	"indigospool/internal/journal"
+	"indigospool/internal/replay"
+)
+
+// Step is one moment at which the module decided something of the request.
+type Step struct {
+	T       float64       `json:"t"`  // ms on the router's clock
+	In      float64       `json:"in"` // ms since the request came
+	Event   string        `json:"event"`
+	Looks   []Look        `json:"looks,omitempty"`
+	Actions []string      `json:"actions,omitempty"`
+	Ranges  []spool.Range `json:"ranges,omitempty"` // where they are others than at the step before
+	Waits   bool          `json:"waits,omitempty"`  // nothing was sent, and it is not over
+}
+
+// Look is a member that was looked at.
+type Look struct {
+	Member string `json:"member,omitempty"`
+	As     string `json:"as"` // cache or source
+	Pass   int    `json:"pass"`
+	Why    string `json:"why"`
+	Times  int    `json:"times"` // in a row
+}
+
+// Story is all that is known of a request.
+type Story struct {
+	Request      spool.Request  `json:"request"`
+	Hypothetical bool           `json:"hypothetical"` // it never was: it was told to the module at the end
+	Router       string         `json:"router"`
+	Steps        []Step         `json:"steps"`
+	Over         bool           `json:"over"` // it had its final answer
+	Ranges       []spool.Range  `json:"ranges,omitempty"`
+	Members      []spool.Member `json:"members"` // as listed when it came
+	Equal        bool           `json:"equal"`   // the replay answered as the router had, up to its end
+}
+
+var words = map[spool.Reason]string{
+	spool.Taken: "taken", spool.OverBound: "holds more than its share", spool.LetDown: "has let the request down before",
+	spool.Passed: "was looked at before", spool.NotGroup: "is outside of the group that drops its repeats",
+	spool.Out: "drains or is gone", spool.Suspect: "is suspect, and due for no trial by it",
+	spool.GateFull: "holds as much as it bears", spool.ColdSpent: "is cold, and its budget is spent",
+	spool.LinkFull: "the location's link bears no further fill now", spool.NoBudget: "no further attempt may be made",
+	spool.NoMember: "nobody is there to ask",
+}
+
+// Word is a reason in words.
+func Word(r spool.Reason) string {
+	if w, ok := words[r]; ok {
+		return w
+	}
+	return fmt.Sprintf("reason %d", r)
+}
+
+// ErrNotThere says that a journal does not have a request.
+var ErrNotThere = errors.New("explain: the journal has no such request, or it stands behind a gap")
+
+// Request tells the story of a recorded request.
+func Request(j *journal.Reader, id string) (*Story, error) {
+	s := &Story{}
+	t := &teller{s: s, id: id}
+	w := t.watcher()
+	rep, err := replay.Run(j, w)
+	if err != nil {
+		return nil, err
+	}
+	if !t.began {
+		return nil, fmt.Errorf("%w: %s", ErrNotThere, id)
+	}
+	s.Equal = rep.Different == 0
+	return s, nil
+}
+
+// Ask is a request that never was.
+type Ask struct {
+	Class, Object string
+	Part, Group   int
+	KB            float64
+	Write         bool
+	At            float64 // ms on the router's clock; 0: at the journal's end
+}
+
+const askedID = "hypothetical"
+
+// Hypothetical tells what would be decided of a request at a time of the journal:
+// the module is told the record up to there, and then the request. What comes of
+// its attempts is not known: the story ends with the first.
+func Hypothetical(j *journal.Reader, a Ask) (*Story, error) {
+	s := &Story{Hypothetical: true}
+	t := &teller{s: s, id: askedID}
+	var c *core.Core
+	last := 0.0
+	w := &replay.Watcher{
+		Life: func(next *core.Core, l *journal.Life) { c, s.Router = next, l.Name },
+		Before: func(e *journal.Entry, _ *core.Core) bool {
+			if a.At > 0 && e.T > a.At {
+				return true
+			}
+			last = e.T
+			t.before(e, c)
+			return false
+		}}
+	rep, err := replay.Run(j, w)
+	if err != nil {
+		return nil, err
+	}
+	if c == nil {
+		return nil, replay.ErrNothing
+	}
+	s.Equal = rep.Different == 0
+	known := false
+	var names []string
+	for i := range c.Settings.Classes {
+		names = append(names, c.Settings.Classes[i].Name)
+		known = known || c.Settings.Classes[i].Name == a.Class
+	}
+	if !known {
+		return nil, fmt.Errorf("explain: no class %q; the router's are %s", a.Class, strings.Join(names, ", "))
+	}
+	q := spool.Request{ID: askedID, Class: a.Class, Object: a.Object, Part: a.Part, Group: a.Group, KB: a.KB, Write: a.Write}
+	e := &journal.Entry{T: max(last, a.At), Event: q}
+	t.listen(c)
+	t.before(e, c)
+	t.after(e, c, c.Handle(e.T, q, nil))
+	return s, nil
+}
+
+// teller collects a story.
+type teller struct {
+	s      *Story
+	id     string
+	began  bool
+	came   float64
+	looks  []Look
+	ranges []spool.Range
+	listed map[string]spool.Member
+}
+
+func (t *teller) watcher() *replay.Watcher {
+	return &replay.Watcher{
+		Life: func(c *core.Core, l *journal.Life) {
+			if !t.began {
+				t.s.Router = l.Name
+			}
+			t.listen(c)
+			t.listed = nil
+		},
+		Before: func(e *journal.Entry, c *core.Core) bool { t.before(e, c); return t.s.Over },
+		After:  func(e *journal.Entry, c *core.Core, acts []spool.Action) { t.after(e, c, acts) },
+	}
+}
+
+func (t *teller) listen(c *core.Core) {
+	c.Explain(func(l spool.Look) {
+		if l.Request != t.id {
+			return
+		}
+		one := Look{Member: l.Member, As: "cache", Pass: l.Pass, Why: Word(l.Why), Times: 1}
+		if l.Source {
+			one.As = "source"
+		}
+		t.looks = append(t.looks, one)
+	})
+}
+
+func (t *teller) before(e *journal.Entry, c *core.Core) {
+	t.looks = nil
+	if ev, ok := e.Event.(spool.Members); ok && !t.began {
+		if ev.Full || t.listed == nil {
+			t.listed = map[string]spool.Member{}
+		}
+		for _, m := range ev.Rows {
+			t.listed[m.ID] = m
+		}
+	}
+	if q, ok := e.Event.(spool.Request); ok && q.ID == t.id {
+		t.began, t.came, t.s.Request, t.ranges = true, e.T, q, c.Ranges()
+		t.s.Ranges = t.ranges
+		for _, m := range t.listed {
+			t.s.Members = append(t.s.Members, m)
+		}
+		sort.Slice(t.s.Members, func(i, j int) bool { return t.s.Members[i].ID < t.s.Members[j].ID })
+	}
+}
+
+// of is the request that an event or action is of, "" of none.
+func of(x any) string {
+	switch x := x.(type) {
+	case spool.Request:
+		return x.ID
+	case spool.Outcome:
+		return x.ID
+	case spool.Started:
+		return x.ID
+	case spool.Gone:
+		return x.ID
+	case spool.Send:
+		return x.ID
+	case spool.Refuse:
+		return x.ID
+	case spool.Fail:
+		return x.ID
+	case spool.Cancel:
+		return x.ID
+	}
+	return ""
+}
+
+func (t *teller) after(e *journal.Entry, c *core.Core, acts []spool.Action) {
+	if !t.began {
+		return
+	}
+	st := Step{T: e.T, In: e.T - t.came, Looks: t.looks}
+	sent := false
+	for _, a := range acts {
+		if of(a) != t.id {
+			continue
+		}
+		st.Actions = append(st.Actions, actionText(a))
+		switch a.(type) {
+		case spool.Refuse, spool.Fail:
+			t.s.Over = true
+		case spool.Send:
+			sent = true
+		}
+	}
+	mine := of(e.Event) == t.id
+	switch ev := e.Event.(type) {
+	case spool.Outcome:
+		t.s.Over = t.s.Over || mine && ev.Last
+	case spool.Gone:
+		t.s.Over = t.s.Over || mine
+	}
+	if !mine && len(st.Actions) == 0 {
+		if len(st.Looks) == 0 {
+			return
+		}
+		if n := len(t.s.Steps); n > 0 && t.s.Steps[n-1].Waits && sameLooks(t.s.Steps[n-1].Looks, st.Looks) {
+			for i := range t.s.Steps[n-1].Looks {
+				t.s.Steps[n-1].Looks[i].Times++
+			}
+			return // it still waits, for the same reasons
+		}
+	}
+	st.Event = eventText(e.Event, mine)
+	st.Waits = !sent && !t.s.Over && len(st.Looks) > 0
+	if now := c.Ranges(); !equalRanges(now, t.ranges) {
+		st.Ranges, t.ranges = now, now
+	}
+	t.s.Steps = append(t.s.Steps, st)
+}
+
+func sameLooks(a, b []Look) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		x.Times, y.Times = 0, 0
+		if x != y {
+			return false
+		}
+	}
+	return true
+}
+
+func equalRanges(a, b []spool.Range) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+var results = map[spool.Result]string{spool.OK: "ok", spool.Errored: "error", spool.Full: "full", spool.TimedOut: "timeout",
+	spool.ConnectFailed: "connect failed", spool.Reset: "reset", spool.Cancelled: "cancelled", spool.Moot: "never sent", spool.Miss: "miss"}
+
+func eventText(ev spool.Event, mine bool) string {
+	switch ev := ev.(type) {
+	case spool.Request:
+		if mine {
+			return fmt.Sprintf("comes: class %s, object %s, part %d, %.0f KB", ev.Class, ev.Object, ev.Part, ev.KB)
+		}
+	case spool.Outcome:
+		if mine {
+			return fmt.Sprintf("attempt %d at %s ends: %s after %.1f ms", ev.Attempt, ev.Cache, results[ev.Result], ev.Took)
+		}
+		return fmt.Sprintf("another request's attempt ends at %s", ev.Cache)
+	case spool.Started:
+		return fmt.Sprintf("the answer of attempt %d at %s has begun", ev.Attempt, ev.Cache)
+	case spool.Gone:
+		if mine {
+			return "its client has left"
+		}
+		return "another client has left"
+	case spool.Timer:
+		return "time passes"
+	case spool.Members:
+		return fmt.Sprintf("news of %d members", len(ev.Rows))
+	}
+	return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", ev), "indigospool."))
+}
+
+func actionText(a spool.Action) string {
+	switch a := a.(type) {
+	case spool.Send:
+		s := "asks " + a.Cache + " for what it holds"
+		if a.Source != a.Cache {
+			s = "has " + a.Cache + " fill it from " + a.Source
+			if a.Held {
+				s += ", if that holds it"
+			}
+		}
+		if a.Keep == 0 {
+			s = "sends it to " + a.Cache + " by " + a.Source + ", to be passed on"
+		}
+		if a.Age >= 1e8 {
+			return s + " (copies of any age)"
+		}
+		return fmt.Sprintf("%s (copies up to %.1f ms old)", s, a.Age)
+	case spool.Refuse:
+		return fmt.Sprintf("refuses it: come again in %.0f ms", a.After)
+	case spool.Fail:
+		return "gives it up, with no promise"
+	case spool.Cancel:
+		return fmt.Sprintf("calls attempt %d back", a.Attempt)
+	}
+	return fmt.Sprintf("%T%+v", a, a)
+}
+
+// Text writes a story for reading.
+func (s *Story) Text(w io.Writer) {
+	q := s.Request
+	kind := "request " + q.ID
+	if s.Hypothetical {
+		kind = "a request that never was"
+	}
+	fmt.Fprintf(w, "%s at router %s\n", kind, s.Router)
+	if len(s.Ranges) > 0 {
+		fmt.Fprint(w, "ranges of parts: ")
+		for i, r := range s.Ranges {
+			if i > 0 {
+				fmt.Fprint(w, ", ")
+			}
+			fmt.Fprint(w, rangeText(r))
+		}
+		fmt.Fprintln(w)
+	}
+	for _, st := range s.Steps {
+		fmt.Fprintf(w, "%9.1f ms  %s\n", st.In, st.Event)
+		for _, line := range lookLines(st.Looks) {
+			fmt.Fprintf(w, "%14s%s\n", "", line)
+		}
+		for _, a := range st.Actions {
+			fmt.Fprintf(w, "%12s> %s\n", "", a)
+		}
+		if st.Waits {
+			fmt.Fprintf(w, "%12s> it waits\n", "")
+		}
+		if len(st.Ranges) > 0 {
+			fmt.Fprintf(w, "%12s  the ranges have moved\n", "")
+		}
+	}
+	switch {
+	case s.Hypothetical:
+	case !s.Over:
+		fmt.Fprintln(w, "the journal ends before its final answer")
+	}
+	if !s.Equal {
+		fmt.Fprintln(w, "WARNING: this program's module answers otherwise than the router's did: see spool-replay")
+	}
+}
+
+// lookLines has each member once for each reason, with the passes; those that
+// were only looked at again are left out.
+func lookLines(looks []Look) (out []string) {
+	type key struct{ as, member, why string }
+	at := map[key]int{}
+	for _, l := range looks {
+		k := key{l.As, l.Member, l.Why}
+		if _, told := at[k]; told || l.Why == Word(spool.Passed) {
+			continue
+		}
+		at[k] = len(out)
+		line := l.Why
+		if l.Member != "" {
+			line = fmt.Sprintf("%s %s: %s", l.As, l.Member, l.Why)
+		}
+		if l.Pass > 0 {
+			line += fmt.Sprintf(" (pass %d)", l.Pass+1)
+		}
+		if l.Times > 1 {
+			line += fmt.Sprintf(" (looked at %d times)", l.Times)
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
+func rangeText(r spool.Range) string {
+	if r.To == 0 {
+		return fmt.Sprintf("%s from %d on", r.Cache, r.From)
+	}
+	if r.To <= r.From {
+		return fmt.Sprintf("%s none", r.Cache)
+	}
+	return fmt.Sprintf("%s %d to %d", r.Cache, r.From, r.To-1)
+}
+
+// SVG draws the ranges, and where the request's part stands in them.
+func (s *Story) SVG(w io.Writer) {
+	const width, height, most = 900, 150, 12
+	last := s.Request.Part + 1
+	for _, r := range s.Ranges {
+		last = max(last, r.From+1, r.To)
+	}
+	last += max(last/8, 1)
+	x := func(part int) float64 { return 10 + float64(width-20)*float64(min(part, last))/float64(last) }
+	fmt.Fprintf(w, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="%d">`+"\n", width, height, most)
+	colours := []string{"#c6dbef", "#fdd0a2", "#c7e9c0", "#dadaeb", "#fcbba1", "#d9d9d9"}
+	for i, r := range s.Ranges {
+		to := r.To
+		if to == 0 {
+			to = last
+		}
+		if to <= r.From {
+			continue
+		}
+		fmt.Fprintf(w, `<rect x="%.1f" y="40" width="%.1f" height="50" fill="%s" stroke="#555"/>`+"\n", x(r.From), x(to)-x(r.From), colours[i%len(colours)])
+		fmt.Fprintf(w, `<text x="%.1f" y="%d">%s</text>`+"\n", x(r.From)+3, 60+i%2*18, escape(r.Cache))
+		fmt.Fprintf(w, `<text x="%.1f" y="106">%d</text>`+"\n", x(r.From), r.From)
+	}
+	at := (x(s.Request.Part) + x(s.Request.Part+1)) / 2
+	fmt.Fprintf(w, `<path d="M%.1f 38 l-6 -12 h12 z" fill="#b00"/><text x="%.1f" y="20">part %d of %s</text>`+"\n", at, min(at, width-260), s.Request.Part, escape(s.Request.Object))
+	fmt.Fprintf(w, `<text x="10" y="135">ranges of part indices at router %s</text>`+"\n</svg>\n", escape(s.Router))
+}
+
+func escape(s string) string {
+	return strings.NewReplacer("&", "&amp;", "<", "&lt;", ">", "&gt;", `"`, "&quot;").Replace(s)
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,192 @@
+package explain
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+	"indigospool/internal/journal"
+)
+
+const sample = `(router (name r1) (zone z)) (fill (direct) (flow 10))
+(class still) (class film (parts) (deadline 9000))
+(route "/s/{object}" (class still)) (route "/v/{object}/{part}" (class film))
+(member b1 (zone z) (address "127.0.0.1:1")) (member b2 (zone z) (address "127.0.0.1:2"))
+(member p (kind parent) (zone h) (address "127.0.0.1:3")) (member o (kind origin) (zone h) (address "127.0.0.1:4"))
+`
+
+type recorder struct{ w *journal.Writer }
+
+func (r recorder) Handled(now float64, ev spool.Event, acts []spool.Action) {
+	r.w.Handled(now, ev, acts)
+}
+func (r recorder) Resettled(float64, *config.Settings, []spool.Action) {}
+
+// record tells a core some events and keeps the journal.
+func record(t *testing.T, tell func(h func(now float64, ev spool.Event) []spool.Action, c *core.Core)) *journal.Reader {
+	t.Helper()
+	dir := t.TempDir()
+	w, err := journal.Open(dir, journal.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &config.Settings{}
+	if err := config.Read("test", sample, s); err != nil {
+		t.Fatal(err)
+	}
+	c, err := core.New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Life(journal.Life{Name: "r1", Seed: 1, Settings: config.Print(s)})
+	c.Recorder = recorder{w}
+	h := func(now float64, ev spool.Event) []spool.Action { return c.Handle(now, ev, nil) }
+	for _, ev := range c.Apply(1, core.FromSettings(s)).Events {
+		h(1, ev)
+	}
+	tell(h, c)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	j, err := journal.OpenReader(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(j.Close)
+	return j
+}
+
+func told(s *Story) string {
+	var b strings.Builder
+	s.Text(&b)
+	return b.String()
+}
+
+func film(id string, part int) spool.Request {
+	return spool.Request{ID: id, Class: "film", Object: "/v/a", Part: part, KB: 10, Deadline: 9000}
+}
+
+// A miss, a fill that is reset, and what comes then: each look is the module's own,
+// and what it says was taken is what was sent.
+func TestStory(t *testing.T) {
+	first := ""
+	j := record(t, func(h func(float64, spool.Event) []spool.Action, _ *core.Core) {
+		send := h(10, film("q1", 0))[1].(spool.Send) // behind the wish for a wake
+		first = send.Cache
+		fill := h(12, spool.Outcome{ID: "q1", Cache: send.Cache, Result: spool.Miss, Took: 2})[0].(spool.Send)
+		next := h(15, spool.Outcome{ID: "q1", Cache: fill.Cache, Attempt: 1, Result: spool.Reset, Took: 3})[0].(spool.Send)
+		h(16, film("other", 1))
+		h(20, spool.Outcome{ID: "q1", Cache: next.Cache, Attempt: 2, Result: spool.OK, Last: true, Took: 5})
+	})
+	s, err := Request(j, "q1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := told(s)
+	for _, want := range []string{"request q1 at router r1", "cache " + first + ": taken", "asks " + first + " for what it holds (copies of any age)",
+		"ends: miss after 2.0 ms", "source p: taken", "has " + first + " fill it from p", "ends: reset after 3.0 ms",
+		"cache " + first + ": has let the request down before", "ends: ok after 5.0 ms"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not told in\n%s", want, text)
+		}
+	}
+	if strings.Contains(text, "other") || strings.Contains(text, "WARNING") || !s.Over || len(s.Steps) != 4 || len(s.Members) != 4 {
+		t.Errorf("over %v, %d steps:\n%s", s.Over, len(s.Steps), text)
+	}
+	for _, st := range s.Steps { // who is called taken is who is in the action
+		for _, l := range st.Looks {
+			if l.Why == "taken" && !strings.Contains(strings.Join(st.Actions, " "), l.Member) {
+				t.Errorf("%s is called taken, and done is %v", l.Member, st.Actions)
+			}
+		}
+	}
+}
+
+// Why a cache is passed over: each of the reasons that a list can bring about.
+func TestReasons(t *testing.T) {
+	for _, c := range []struct {
+		name, want string
+		tell       func(h func(float64, spool.Event) []spool.Action, c *core.Core)
+	}{
+		{"cold", "is cold, and its budget is spent", func(h func(float64, spool.Event) []spool.Action, c *core.Core) {
+			for _, ev := range c.Apply(5, core.FromStep(1, []config.Member{{ID: "b1", Zone: "z", Kind: "box", State: "serving", Start: 2},
+				{ID: "b2", Zone: "z", Kind: "box", State: "serving", Start: 2}}, true)).Events {
+				h(5, ev)
+			}
+			h(10, film("q", 0))
+		}},
+		{"suspect", "is suspect, and due for no trial by it", func(h func(float64, spool.Event) []spool.Action, _ *core.Core) {
+			for i := range 40 {
+				id := fmt.Sprint("x", i)
+				for _, a := range h(float64(10+i), film(id, 0)) {
+					if s, ok := a.(spool.Send); ok && s.Cache == "b1" {
+						h(float64(10+i), spool.Outcome{ID: id, Cache: "b1", Result: spool.ConnectFailed})
+					}
+				}
+			}
+			h(60, film("q", 0))
+		}},
+		{"budget", "no further attempt may be made", func(h func(float64, spool.Event) []spool.Action, _ *core.Core) {
+			acts := h(10, film("q", 0))
+			for n := 0; n < 12; n++ {
+				for _, a := range acts {
+					if s, ok := a.(spool.Send); ok {
+						acts = h(11+float64(n), spool.Outcome{ID: "q", Cache: s.Cache, Attempt: n, Result: spool.Full, Note: spool.NoteNoPlace})
+						break
+					}
+				}
+			}
+		}},
+	} {
+		s, err := Request(record(t, c.tell), "q")
+		if err != nil {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		if text := told(s); !strings.Contains(text, c.want) {
+			t.Errorf("%s: %q is not told in\n%s", c.name, c.want, text)
+		}
+	}
+}
+
+// What never was: the module says what it would do, at the end and before.
+func TestHypothetical(t *testing.T) {
+	j := func() *journal.Reader {
+		return record(t, func(h func(float64, spool.Event) []spool.Action, c *core.Core) {
+			for i := range 100 {
+				h(float64(10+i), film(fmt.Sprint("q", i), i%10))
+			}
+			for _, ev := range c.Apply(200, core.FromStep(2, []config.Member{{ID: "b1", Zone: "z", Kind: "box", State: "draining"}}, false)).Events {
+				h(200, ev)
+			}
+		})
+	}
+	a := Ask{Class: "film", Object: "/v/new", Part: 0, KB: 10}
+	s, err := Hypothetical(j(), a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text := told(s); len(s.Steps) != 1 || !strings.Contains(text, "a request that never was at router r1") || strings.Contains(text, "b1: taken") ||
+		len(s.Ranges) != 1 || s.Ranges[0].Cache != "b2" {
+		t.Errorf("at the end:\n%s", text)
+	}
+	a.At = 150
+	if s, err = Hypothetical(j(), a); err != nil || len(s.Ranges) != 2 {
+		t.Errorf("before the drain: %v, ranges %v", err, s.Ranges)
+	}
+	var svg strings.Builder
+	s.SVG(&svg)
+	if !strings.Contains(svg.String(), "b1</text>") || !strings.Contains(svg.String(), "part 0 of /v/new") {
+		t.Errorf("the picture: %s", svg.String())
+	}
+	if _, err := Hypothetical(j(), Ask{Class: "none", Object: "/x"}); err == nil || !strings.Contains(err.Error(), "the router's are still, film") {
+		t.Errorf("an unknown class: %v", err)
+	}
+	if _, err := Request(j(), "nobody"); !errors.Is(err, ErrNotThere) {
+		t.Errorf("an unknown request: %v", err)
+	}
+}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -49,10 +49,20 @@
 
 const around = 12 // records that are shown before a difference
 
-// Run replays a journal to its end.
-func Run(j *journal.Reader) (*Report, error) {
-	p := &player{rep: &Report{}}
-	for {
+// Watcher sees a replay as it goes. Its functions may be nil.
+type Watcher struct {
+	Life   func(c *core.Core, l *journal.Life)
+	Before func(e *journal.Entry, c *core.Core) (stop bool) // an event is about to be told
+	After  func(e *journal.Entry, c *core.Core, acts []spool.Action)
+}
+
+// Run replays a journal to its end, or until the watcher stops it.
+func Run(j *journal.Reader, w *Watcher) (*Report, error) {
+	if w == nil {
+		w = &Watcher{}
+	}
+	p := &player{rep: &Report{}, w: w}
+	for !p.stopped {
 		e, err := j.Next()
 		if err == io.EOF {
 			p.endLife()
@@ -66,6 +76,7 @@
 			return p.rep, err
 		}
 	}
+	return p.rep, nil
 }
 
 type player struct {
@@ -75,6 +86,9 @@
 	last [around]*journal.Entry
 	n    int
 	open map[string]bool
+
+	w       *Watcher
+	stopped bool
 }
 
 // take takes one record.
@@ -93,6 +107,9 @@
 			return fmt.Errorf("replay: life %d: %w", p.rep.Lives, err)
 		}
 		p.c, p.open = c, map[string]bool{}
+		if p.w.Life != nil {
+			p.w.Life(c, e.Life)
+		}
 	case journal.KindGap:
 		p.rep.Gaps = append(p.rep.Gaps, e.Why)
 		p.rep.Lost += e.Lost
@@ -136,7 +153,14 @@
 				delete(p.open, a.ID)
 			}
 		}
+		if p.w.Before != nil && p.w.Before(e, p.c) {
+			p.stopped = true
+			return nil
+		}
 		p.acts = p.c.Handle(e.T, e.Event, p.acts[:0])
+		if p.w.After != nil {
+			p.w.After(e, p.c, p.acts)
+		}
 		p.compare(e, "")
 	}
 	return nil
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -97,7 +97,7 @@
 		t.Fatal(err)
 	}
 	defer j.Close()
-	r, err := Run(j)
+	r, err := Run(j, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -147,7 +147,7 @@
 		t.Fatal(err)
 	}
 	defer j.Close()
-	r, err := Run(j)
+	r, err := Run(j, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/router.go
+++ b/router.go
@@ -361,6 +361,7 @@
 	q.parked = false
 	free := q.freely()
 	if r.spent(q) {
+		r.saw(q, nil, false, 0, NoBudget)
 		r.finish(q)
 		return
 	}
@@ -459,6 +460,7 @@
 		return q.seat, old
 	}
 	if !r.link.free(r.now) {
+		r.saw(q, nil, true, 0, LinkFull)
 		if q.seat != nil && !q.stale && q.class.Grace > 0 && r.s.MaxAttempts-len(q.tries) >= looksNeed {
 			q.stale = true // better an old copy now than a full link
 			return q.seat, q.seat
@@ -492,8 +494,7 @@
 	limit := r.bound()
 	for pass := range 4 { // first without those that failed it, first within bounds
 		for _, m := range order {
-			if fits := pass&1 == 1 || m.out/r.size(m) <= limit; fits && q.failed(m) == (pass > 1) &&
-				q.allows(m) && r.admits(m, q) {
+			if r.saw(q, m, false, pass, r.unfit(m, q, pass, limit)) == Taken {
 				return m
 			}
 		}
@@ -501,6 +502,21 @@
 	return nil
 }
 
+// unfit says why an edge cache is not taken in a pass.
+func (r *Router) unfit(m *member, q *request, pass int, limit float64) Reason {
+	switch {
+	case pass&1 == 0 && m.out/r.size(m) > limit:
+		return OverBound
+	case q.failed(m) && pass <= 1:
+		return LetDown
+	case !q.failed(m) && pass > 1:
+		return Passed
+	case !q.allows(m):
+		return NotGroup
+	}
+	return r.bars(m, q)
+}
+
 // size is a member's capacity as far as it is told.
 func (r *Router) size(m *member) float64 {
 	if r.s.SizesCompare && m.Size > 0 {
@@ -527,6 +543,7 @@
 func (r *Router) chooseWrite(q *request) (at, src *member) {
 	o := r.firstUp(origin, q)
 	if o == nil {
+		r.saw(q, nil, true, 0, NoMember)
 		return nil, nil
 	}
 	if r.s.Direct && q.allows(o) && (!q.failed(o) || q.ran != nil) {
@@ -561,9 +578,18 @@
 // source names where a miss is filled from: the parents by a hash of the
 // object, the origin where none is up.
 func (r *Router) source(q *request) *member {
-	for _, again := range []bool{false, true} {
+	for pass, again := range []bool{false, true} {
 		for _, p := range append(ranked(r.byRole[parent], q.hash), r.byRole[origin]...) {
-			if q.failed(p) == again && (r.admits(p, q) || again && p.role == origin) {
+			why := LetDown
+			if q.failed(p) == again {
+				why = r.bars(p, q)
+			} else if again {
+				why = Passed
+			}
+			if again && q.failed(p) && p.role == origin {
+				why = Taken
+			}
+			if r.saw(q, p, true, pass, why) == Taken {
 				return p
 			}
 		}
@@ -571,19 +597,24 @@
 	return nil
 }
 
-// admits reports whether a member may be given the request now: it is up, not
-// a suspect (or due for its one trial), within its share, and within its
-// budget while cold.
-func (r *Router) admits(m *member, q *request) bool {
-	if m.gone || m.suspect && (m.trial || r.now < m.trialAt || len(q.tries) > 0) ||
-		m.role == edge && m.held >= max(m.room, leastRoom) {
-		return false
-	}
-	if r.warmth(m) >= 1 {
-		return true
-	}
-	r.top(m)
-	return m.tokens >= r.cost(m, q)
+// bars says why a member may not be given the request now. Taken: it is up, not
+// a suspect (or due for its one trial), within its share, and within its budget
+// while cold.
+func (r *Router) bars(m *member, q *request) Reason {
+	switch {
+	case m.gone:
+		return Out
+	case m.suspect && (m.trial || r.now < m.trialAt || len(q.tries) > 0):
+		return Suspect
+	case m.role == edge && m.held >= max(m.room, leastRoom):
+		return GateFull
+	case r.warmth(m) >= 1:
+		return Taken
+	}
+	if r.top(m); m.tokens < r.cost(m, q) {
+		return ColdSpent
+	}
+	return Taken
 }
 
 // --- cold members ---
--- a/state.go
+++ b/state.go
@@ -121,6 +121,40 @@
 	layout, prior  layout // who holds what, and before the last change
 	moved          Millis // when that was
 	acts           []Action
+	looker         func(Look) // hears what choices look at; nil: nobody
+}
+
+// Explain has f hear of every member that a choice looks at, while it is made:
+// what it is told is the decision itself, not another one. nil ends that.
+func (r *Router) Explain(f func(Look)) { r.looker = f }
+
+// saw tells of a member that a choice has looked at, and passes the reason on.
+func (r *Router) saw(q *request, m *member, source bool, pass int, why Reason) Reason {
+	if r.looker != nil {
+		l := Look{Request: q.ID, Source: source, Pass: pass, Why: why}
+		if m != nil {
+			l.Member = m.ID
+		}
+		r.looker(l)
+	}
+	return why
+}
+
+// Ranges are the caches' ranges of part indices; none before there are any.
+func (r *Router) Ranges() (out []Range) {
+	if !r.layout.ranged {
+		return nil
+	}
+	from := 0
+	for i, m := range r.layout.edges {
+		to := 0
+		if i < len(r.layout.splits) {
+			to = r.layout.splits[i]
+		}
+		out = append(out, Range{Cache: m.ID, From: from, To: to})
+		from = to
+	}
+	return out
 }
 
 func total(cost []float64) (sum float64) {
