--- a/api.go
+++ b/api.go
@@ -261,7 +261,7 @@
 	Why             Reason
 }
 
-// Range is a cache's range of part indices: From, up to but not with To; To 0:
+// Range is a cache's range of part indices: From, up to but not with To; To -1:
 // all from there on.
 type Range struct {
 	Cache    string
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -415,7 +415,7 @@
 }
 
 func rangeText(r spool.Range) string {
-	if r.To == 0 {
+	if r.To < 0 {
 		return fmt.Sprintf("%s from %d on", r.Cache, r.From)
 	}
 	if r.To <= r.From {
@@ -437,7 +437,7 @@
 	colours := []string{"#c6dbef", "#fdd0a2", "#c7e9c0", "#dadaeb", "#fcbba1", "#d9d9d9"}
 	for i, r := range s.Ranges {
 		to := r.To
-		if to == 0 {
+		if to < 0 {
 			to = last
 		}
 		if to <= r.From {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -178,6 +178,9 @@
 	if s, err = Hypothetical(j(), a); err != nil || len(s.Ranges) != 2 {
 		t.Errorf("before the drain: %v, ranges %v", err, s.Ranges)
 	}
+	if got := rangeText(spool.Range{Cache: "b", To: -1}) + ", " + rangeText(spool.Range{Cache: "c"}); got != "b from 0 on, c none" {
+		t.Error(got)
+	}
 	var svg strings.Builder
 	s.SVG(&svg)
 	if !strings.Contains(svg.String(), "b1</text>") || !strings.Contains(svg.String(), "part 0 of /v/new") {
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -156,13 +157,36 @@
 	}
 }
 
+// How fast a journal is replayed, and what is resident meanwhile, by its length.
 func BenchmarkReplay(b *testing.B) {
-	dir := b.TempDir()
-	record(b, dir, 1, 5000, nil)
-	var events int64
-	b.ReportAllocs()
-	for b.Loop() {
-		events += replayed(b, dir).Events
+	for _, requests := range []int{2500, 25000, 250000} {
+		b.Run(fmt.Sprint(requests, "-requests"), func(b *testing.B) {
+			dir := b.TempDir()
+			record(b, dir, 1, requests, nil)
+			var events, n int64
+			var most uint64
+			for b.Loop() {
+				j, err := journal.OpenReader(dir)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r, err := Run(j, &Watcher{Before: func(*journal.Entry, *core.Core) bool {
+					if n++; n%20000 == 0 {
+						var m runtime.MemStats
+						runtime.ReadMemStats(&m)
+						most = max(most, m.HeapAlloc)
+					}
+					return false
+				}})
+				j.Close()
+				if err != nil || !r.OK() {
+					b.Fatal(r, err)
+				}
+				events += r.Events
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+			b.ReportMetric(float64(events)/float64(b.N), "events")
+			b.ReportMetric(float64(most)/(1<<20), "heap-MB")
+		})
 	}
-	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
 }
--- a/state.go
+++ b/state.go
@@ -147,7 +147,7 @@
 	}
 	from := 0
 	for i, m := range r.layout.edges {
-		to := 0
+		to := -1
 		if i < len(r.layout.splits) {
 			to = r.layout.splits[i]
 		}
