spool-load: open-loop load from distributions, latencies from when a request was due

Sessions arrive steadily, by Poisson, in bursts or waves (gonum's distributions, from a seed), objects by Zipf, parts until a client stops. Tests: rates, shares and dispersion of each kind; a server that stands still for half a second is seen by every request that was due then; outcomes told apart; bounds and faults.

--- /dev/null
+++ b/cmd/spool-load/main.go
@@ -0,0 +1,72 @@
+// Spool-load makes requests as users do, open-loop, against running routers.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"indigospool/internal/cli"
+	"indigospool/internal/config"
+	"indigospool/internal/load"
+)
+
+func main() {
+	var asJSON bool
+	var plot, ending string
+	var targets []string
+	var rate float64
+	root := &cobra.Command{Use: "spool-load FILE", Short: "Makes requests as users do, open-loop, against running routers", Args: cobra.ExactArgs(1),
+		Example: "  spool-load examples/load.edn\n  spool-load examples/load.edn --targets 127.0.0.1:8080 --rate 500 --plot out",
+		RunE: func(c *cobra.Command, args []string) error {
+			b, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			text := string(b)
+			s := &load.Script{}
+			err = config.Read(args[0], text, s)
+			var faults config.Faults
+			if errors.As(err, &faults) {
+				return &cli.FoundError{Err: err}
+			}
+			if err != nil {
+				return err
+			}
+			if len(targets) > 0 {
+				s.Load.Targets = targets
+				var f config.Faults
+				if s.Check(&f); len(f) > 0 {
+					return &cli.FoundError{Err: f}
+				}
+			}
+			if rate > 0 {
+				s.Arrivals.Rate = rate
+			}
+			r, err := load.Run(c.Context(), s)
+			if err != nil {
+				return err
+			}
+			if plot != "" {
+				if err := r.Plot(plot, ending); err != nil {
+					return err
+				}
+			}
+			if asJSON {
+				enc := json.NewEncoder(os.Stdout)
+				enc.SetIndent("", " ")
+				return enc.Encode(r)
+			}
+			r.Text(os.Stdout)
+			return nil
+		}}
+	f := root.Flags()
+	f.StringSliceVar(&targets, "targets", nil, "routers, instead of the file's")
+	f.Float64Var(&rate, "rate", 0, "requests a second, instead of the file's")
+	f.StringVar(&plot, "plot", "", "write pictures PLOT-latency and PLOT-seconds")
+	f.StringVar(&ending, "format", "svg", "of the pictures: svg, png or pdf")
+	f.BoolVar(&asJSON, "json", false, "print the result as JSON")
+	cli.Main(root)
+}
--- /dev/null
+++ b/internal/load/arrivals.go
@@ -0,0 +1,196 @@
+// Package load makes requests as users do, against a running router: open-loop
+// arrivals from distributions, objects by their popularity, sessions that go from
+// part to part and stop early. Latencies count from when a request was due, so that
+// a slow server can't hide by being asked less.
+//
+// It measures and decides nothing of a router's. arrivals.go draws what comes when,
+// without I/O and from a seed; run.go asks; plot.go draws the results.
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"indigospool/internal/config"
+)
+
+// Script is a load. Spans are in ms.
+type Script struct {
+	Load     Form    `edn:"load,required"`
+	Arrivals Shape   `edn:"arrivals"`
+	Classes  []Class `edn:"class"`
+}
+
+// Form is the load as a whole.
+type Form struct {
+	Place   config.Place
+	Name    string   `edn:"@"`
+	Targets []string `edn:"targets"` // routers, host:port, in turn
+	Length  float64  `edn:"length" def:"10000" min:"1"`
+	Warm    float64  `edn:"warm" def:"1000" min:"0"` // at the beginning, not counted
+	Seed    int      `edn:"seed" def:"1"`
+	Conns   int      `edn:"conns" def:"512" min:"1"`    // a target; who finds none free waits, and the wait counts
+	Most    int      `edn:"most" def:"1000000" min:"1"` // requests; a load is bounded
+}
+
+// Shape is how sessions arrive.
+type Shape struct {
+	Place  config.Place
+	Kind   string  `edn:"@" def:"poisson" oneof:"steady poisson bursts waves"`
+	Rate   float64 `edn:"rate" def:"100" min:"0.01"`       // requests a second, on average
+	Burst  float64 `edn:"burst" def:"20" min:"1"`          // of bursts: mean sessions in one
+	Period float64 `edn:"period" def:"10000" min:"10"`     // of waves
+	Depth  float64 `edn:"depth" def:"0.8" min:"0" max:"1"` // of waves: from (1-depth) to (1+depth) times the rate
+}
+
+// Class is a class of requests.
+type Class struct {
+	Place    config.Place
+	Name     string  `edn:"@,required"`
+	Path     string  `edn:"path,required"`         // with {group}, {object}, {part}
+	Share    float64 `edn:"share" def:"1" min:"0"` // of the requests
+	Objects  int     `edn:"objects" def:"1000" min:"1"`
+	Zipf     float64 `edn:"zipf" def:"1.1" min:"1.001"`
+	Groups   int     `edn:"groups" def:"32" min:"1"`
+	Parts    int     `edn:"parts" min:"0"`                  // the most parts of a session; 0: one request
+	Stay     float64 `edn:"stay" def:"0.9" min:"0" max:"1"` // chance to go on to the next part
+	Gap      float64 `edn:"gap" def:"400" min:"0"`          // from part to part
+	Aim      float64 `edn:"aim" def:"400" min:"1"`
+	Deadline float64 `edn:"deadline" def:"5000" min:"1"`
+}
+
+// Check tells what contradicts itself.
+func (s *Script) Check(f *config.Faults) {
+	add := func(p config.Pos, key, what, remedy string) {
+		*f = append(*f, config.Fault{Pos: p, Key: key, What: what, Remedy: remedy})
+	}
+	if len(s.Load.Targets) == 0 {
+		add(s.Load.Place.Pos, "load/targets", "no target is given", "add (targets host:port ...)")
+	}
+	for _, t := range s.Load.Targets {
+		host, _, err := net.SplitHostPort(t)
+		switch {
+		case err != nil:
+			add(s.Load.Place.Of("targets"), "load/targets", fmt.Sprintf("%q is no address", t), "write host:port, as 127.0.0.1:8080")
+		case host != "localhost" && !net.ParseIP(host).IsLoopback():
+			add(s.Load.Place.Of("targets"), "load/targets", fmt.Sprintf("%q is not a loopback address", t), "load goes to this machine only")
+		}
+	}
+	if s.Load.Warm >= s.Load.Length {
+		add(s.Load.Place.Of("warm"), "load/warm", fmt.Sprintf("%v leaves nothing of %v", s.Load.Warm, s.Load.Length), "lower it")
+	}
+	total := 0.0
+	for _, c := range s.Classes {
+		total += c.Share
+		if !strings.HasPrefix(c.Path, "/") || !strings.Contains(c.Path, "{object}") {
+			add(c.Place.Of("path"), "class/path", fmt.Sprintf("%q does not begin with / or has no {object}", c.Path), `write "/s/{group}/{object}"`)
+		}
+		if (c.Parts > 0) != strings.Contains(c.Path, "{part}") {
+			add(c.Place.Of("path"), "class/path", fmt.Sprintf("%q and (parts %d) don't go together", c.Path, c.Parts), "give both {part} and (parts n), or neither")
+		}
+	}
+	if total <= 0 {
+		add(s.Load.Place.Pos, "class", "no class has a share", "add (class name (path ...) (share x))")
+	}
+}
+
+// Request is one request that is due.
+type Request struct {
+	Due   float64 // ms from the beginning
+	Class int
+	Path  string
+}
+
+// Session is one client's requests, in the order of time.
+type Session []Request
+
+// Sessions draws sessions in the order of their beginnings.
+type Sessions struct {
+	s     *Script
+	rng   *rand.Rand
+	now   float64
+	left  int // of a burst
+	zipf  []*rand.Zipf
+	pick  []float64 // rising sums of the classes' shares of sessions
+	rate  float64   // sessions a ms, on average
+	gap   distuv.Exponential
+	burst distuv.Poisson
+}
+
+// NewSessions draws for a script, the same for the same seed.
+func NewSessions(s *Script) *Sessions {
+	d := &Sessions{s: s, rng: rand.New(rand.NewPCG(uint64(s.Load.Seed), 0x10ad))}
+	sum, each := 0.0, 0.0
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		d.zipf = append(d.zipf, rand.NewZipf(d.rng, c.Zipf, 1, uint64(c.Objects-1)))
+		sum += c.Share / c.mean() // sessions of many requests come so much more rarely
+		each += c.Share
+		d.pick = append(d.pick, sum)
+	}
+	d.rate = s.Arrivals.Rate / 1000 * sum / each
+	d.gap = distuv.Exponential{Rate: d.rate, Src: d.rng}
+	d.burst = distuv.Poisson{Lambda: max(s.Arrivals.Burst-1, 1e-9), Src: d.rng}
+	return d
+}
+
+// mean is how many requests a session of the class makes on average.
+func (c *Class) mean() float64 {
+	if c.Parts == 0 {
+		return 1
+	}
+	if c.Stay >= 1 {
+		return float64(c.Parts)
+	}
+	return (1 - math.Pow(c.Stay, float64(c.Parts))) / (1 - c.Stay)
+}
+
+// Next is the next session; ok is false past the load's length.
+func (d *Sessions) Next() (out Session, ok bool) {
+	a := &d.s.Arrivals
+	switch a.Kind {
+	case "steady":
+		d.now += 1 / d.rate
+	case "bursts":
+		if d.left == 0 {
+			d.left = 1 + int(d.burst.Rand())
+			d.now += d.gap.Rand() * a.Burst
+		}
+		d.left--
+	case "waves": // thinned: the rate at its highest, of which a part is kept
+		for {
+			d.now += d.gap.Rand() / (1 + a.Depth)
+			if d.rng.Float64()*(1+a.Depth) <= 1+a.Depth*math.Sin(2*math.Pi*d.now/a.Period) {
+				break
+			}
+		}
+	default:
+		d.now += d.gap.Rand()
+	}
+	if d.now >= d.s.Load.Length {
+		return nil, false
+	}
+	x := d.rng.Float64() * d.pick[len(d.pick)-1]
+	k := 0
+	for k < len(d.pick)-1 && x > d.pick[k] {
+		k++
+	}
+	c := &d.s.Classes[k]
+	object := d.zipf[k].Uint64()
+	group := (object*2654435761 + uint64(k)) % uint64(c.Groups)
+	base := strings.NewReplacer("{group}", strconv.FormatUint(group, 10), "{object}", "o"+strconv.FormatUint(object, 10)).Replace(c.Path)
+	due := d.now
+	for part := 0; ; part++ {
+		out = append(out, Request{Due: due, Class: k, Path: strings.Replace(base, "{part}", strconv.Itoa(part), 1)})
+		if part+1 >= c.Parts || d.rng.Float64() >= c.Stay {
+			return out, true
+		}
+		due += c.Gap
+	}
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,186 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"indigospool/internal/config"
+)
+
+func script(t testing.TB, text string) *Script {
+	t.Helper()
+	s := &Script{}
+	if err := config.Read("load.edn", text, s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+const classes = `(class still (path "/s/{group}/{object}") (share 0.6) (objects 500))
+(class film (path "/v/{group}/{object}/{part}") (share 0.4) (objects 40) (parts 12) (stay 0.9) (gap 350))`
+
+func drawn(s *Script) (out []Session) {
+	for d := NewSessions(s); ; {
+		one, ok := d.Next()
+		if !ok {
+			return out
+		}
+		out = append(out, one)
+	}
+}
+
+// Whatever the kind of arrivals, as many requests come as were asked for, of the
+// classes' shares, in the order of sessions' beginnings; the same for the same seed.
+func TestSessions(t *testing.T) {
+	for _, kind := range []string{"steady", "poisson", "bursts", "waves"} {
+		s := script(t, fmt.Sprintf(`(load x (targets "127.0.0.1:1") (length 400000) (seed 3)) (arrivals %s (rate 100) (burst 5) (period 10000)) %s`, kind, classes))
+		list := drawn(s)
+		if !reflect.DeepEqual(list, drawn(s)) {
+			t.Errorf("%s: another drawing of the same seed differs", kind)
+		}
+		count, last, parts := [2]float64{}, 0.0, 0
+		var perSecond [400]float64
+		for _, one := range list {
+			if one[0].Due < last {
+				t.Fatalf("%s: a session at %v after one at %v", kind, one[0].Due, last)
+			}
+			last = one[0].Due
+			for i, r := range one {
+				count[r.Class]++
+				if r.Class == 1 && (!strings.HasSuffix(r.Path, fmt.Sprint("/", i)) || i > 0 && math.Abs(r.Due-one[i-1].Due-350) > 1e-6) {
+					t.Fatalf("%s: part %d is %+v", kind, i, r)
+				}
+				if strings.ContainsAny(r.Path, "{}") {
+					t.Fatalf("%s: path %s", kind, r.Path)
+				}
+			}
+			parts = max(parts, len(one))
+			perSecond[min(int(one[0].Due/1000), 399)]++
+		}
+		if n := count[0] + count[1]; n < 36000 || n > 44000 || math.Abs(count[0]/n-0.6) > 0.04 || parts != 12 {
+			t.Errorf("%s: %v requests, want 40000, 0.6 of them stills; %d parts at most", kind, count, parts)
+		}
+		mean, vary := float64(len(list))/400, 0.0
+		for _, n := range perSecond {
+			vary += (n - mean) * (n - mean) / 400
+		}
+		switch dispersion := vary / mean; { // 0 of a steady flow, 1 of Poisson's
+		case kind == "steady" && dispersion > 0.1, kind == "poisson" && (dispersion < 0.7 || dispersion > 1.4),
+			kind == "bursts" && dispersion < 2, kind == "waves" && dispersion < 2:
+			t.Errorf("%s: arrivals by the second have a dispersion of %.2f", kind, dispersion)
+		}
+	}
+}
+
+// A server that stands still for a while is waited for from when each request was
+// due: had the load stopped asking, one request would have shown it.
+func TestNoCoordinatedOmission(t *testing.T) {
+	var mu sync.Mutex
+	begin := time.Now()
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		if d := time.Since(begin); d > 500*time.Millisecond && d < 1000*time.Millisecond {
+			time.Sleep(1100*time.Millisecond - d) // with the lock: all wait
+		}
+		mu.Unlock()
+		w.Header().Set("Cache-Status", `"far"; fwd=miss, "near"; hit; ttl=5`)
+		w.Write(make([]byte, 1000))
+	}))
+	defer h.Close()
+	s := script(t, fmt.Sprintf(`(load x (targets %q) (length 2000) (warm 0) (conns 4)) (arrivals steady (rate 100)) (class c (path "/{object}") (aim 100))`,
+		strings.TrimPrefix(h.URL, "http://")))
+	begin = time.Now()
+	r, err := Run(context.Background(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := r.Classes[0]
+	if c.Requests != 199 || c.InTime+c.Late != 199 || c.Hits != 199 || c.Broken > 0 {
+		t.Fatalf("%+v", c)
+	}
+	if c.Late < 35 || c.P90 < 200 { // some 60 of 199 were due while it stood still, and waited up to 600 ms
+		t.Errorf("%d late, p90 %.0f ms: requests that were due are not counted as waiting", c.Late, c.P90)
+	}
+	dir := t.TempDir()
+	for _, ending := range []string{"svg", "png"} {
+		if err := r.Plot(filepath.Join(dir, "x"), ending); err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range []string{"x-latency.", "x-seconds."} {
+			if st, err := os.Stat(filepath.Join(dir, name+ending)); err != nil || st.Size() < 500 {
+				t.Errorf("%s%s: %v", name, ending, err)
+			}
+		}
+	}
+	if err := r.Plot(filepath.Join(dir, "x"), "odd"); err == nil {
+		t.Error("an unknown format is taken")
+	}
+}
+
+// What a router does to requests is told apart; a load is bounded.
+func TestOutcomes(t *testing.T) {
+	n := 0
+	var mu sync.Mutex
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		n++
+		k := n % 4
+		mu.Unlock()
+		switch k {
+		case 0:
+			w.WriteHeader(503)
+		case 1:
+			w.WriteHeader(404)
+		case 2:
+			w.Header().Set("Content-Length", "10")
+			w.Write([]byte("short"))
+		}
+	}))
+	defer h.Close()
+	s := script(t, fmt.Sprintf(`(load x (targets %q) (length 1000) (warm 0) (most 60)) (arrivals steady (rate 100)) (class c (path "/{object}"))`,
+		strings.TrimPrefix(h.URL, "http://")))
+	r, err := Run(context.Background(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := r.Classes[0]
+	if c.Requests != 60 || c.Refused != 15 || c.Failed != 15 || c.Broken != 15 || c.InTime+c.Late != 15 || r.Dropped != 39 {
+		t.Errorf("%+v, dropped %d", c, r.Dropped)
+	}
+}
+
+func TestHits(t *testing.T) {
+	for field, want := range map[string]bool{"": false, `"a"; hit`: true, `"a"; fwd=miss`: false, `"a"; hit, "b"; fwd=miss`: false,
+		`"a"; fwd=miss, "b;x, y"; hit`: true, `"a"; hit=?0`: false, `"hit"; fwd=miss`: false, `"a";hit=?1;ttl=3`: true} {
+		if isHit(field) != want {
+			t.Errorf("%s: %v", field, !want)
+		}
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		`(load x) (class c (path "/{object}"))`:                                        "add (targets host:port ...)",
+		`(load x (targets "10.0.0.1:80")) (class c (path "/{object}"))`:                "load goes to this machine only",
+		`(load x (targets "127.0.0.1:1") (length 100)) (class c (path "/{object}"))`:   "leaves nothing of",
+		`(load x (targets "127.0.0.1:1")) (class c (path "x"))`:                        "does not begin with /",
+		`(load x (targets "127.0.0.1:1")) (class c (path "/{object}") (parts 3))`:      "don't go together",
+		`(load x (targets "127.0.0.1:1"))`:                                             "no class has a share",
+		`(load x (targets "127.0.0.1:1")) (arrivals odd) (class c (path "/{object}"))`: `"odd" is not known here`,
+	} {
+		s := &Script{}
+		if err := config.Read("load.edn", text, s); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,254 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// ClassResult is what became of a class's requests.
+type ClassResult struct {
+	Class    string  `json:"class"`
+	Requests int64   `json:"requests"`
+	InTime   int64   `json:"in_time"` // whole, within the aim
+	Late     int64   `json:"late"`    // whole, past it
+	Refused  int64   `json:"refused"` // 503
+	Failed   int64   `json:"failed"`  // other statuses from 400
+	Broken   int64   `json:"broken"`  // no whole answer
+	Hits     int64   `json:"hits"`    // of the nearest cache, by Cache-Status
+	MB       float64 `json:"mb"`
+	P50      float64 `json:"p50_ms"`
+	P90      float64 `json:"p90_ms"`
+	P99      float64 `json:"p99_ms"`
+	P999     float64 `json:"p999_ms"`
+	Max      float64 `json:"max_ms"`
+
+	hist *hdrhistogram.Histogram // of whole answers, in us, from when they were due
+	mu   sync.Mutex
+}
+
+// Second is what was served in one second of the load.
+type Second struct {
+	Second   int     `json:"second"`
+	Due      int64   `json:"due"`
+	InTime   int64   `json:"in_time"`
+	P50, P99 float64 `json:"-"`
+}
+
+// Result is a load that was made.
+type Result struct {
+	Name    string         `json:"name,omitempty"`
+	Classes []*ClassResult `json:"classes"`
+	Seconds []Second       `json:"seconds"`
+	Dropped int64          `json:"dropped"`   // past (most n)
+	Behind  float64        `json:"behind_ms"` // most by which this program was late in asking: above some ms its machine is short
+
+	hists []*hdrhistogram.Histogram // by second
+}
+
+// Run makes the load, and returns when its last answer is there.
+func Run(ctx context.Context, s *Script) (*Result, error) {
+	res := &Result{Name: s.Load.Name}
+	for i := range s.Classes {
+		res.Classes = append(res.Classes, &ClassResult{Class: s.Classes[i].Name, hist: newHist()})
+	}
+	seconds := int(s.Load.Length/1000) + 1
+	res.Seconds = make([]Second, seconds)
+	for i := range res.Seconds {
+		res.Seconds[i].Second = i
+		res.hists = append(res.hists, newHist())
+	}
+	var clients []*http.Client
+	for range s.Load.Targets {
+		t := &http.Transport{MaxConnsPerHost: s.Load.Conns, MaxIdleConnsPerHost: s.Load.Conns, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: 5 * time.Second}).DialContext}
+		clients = append(clients, &http.Client{Transport: t})
+		defer t.CloseIdleConnections()
+	}
+	var mu sync.Mutex // of seconds and Behind
+	var wg sync.WaitGroup
+	var asked atomic.Int64
+	begin := time.Now()
+	due := func(r *Request) time.Time { return begin.Add(time.Duration(r.Due * float64(time.Millisecond))) }
+	one := func(r Request, target int) {
+		c, k := &s.Classes[r.Class], res.Classes[r.Class]
+		at := due(&r)
+		late := time.Since(at)
+		rctx, cancel := context.WithDeadline(ctx, at.Add(time.Duration(c.Deadline*float64(time.Millisecond))))
+		defer cancel()
+		status, hit, n, err := fetch(rctx, clients[target], s.Load.Targets[target], r.Path)
+		took := time.Since(at)
+		if r.Due < s.Load.Warm {
+			return
+		}
+		inTime := err == nil && status < 400 && float64(took.Microseconds())/1000 <= c.Aim
+		k.mu.Lock()
+		k.Requests++
+		k.MB += float64(n) / (1 << 20)
+		switch {
+		case err != nil:
+			k.Broken++
+		case status == http.StatusServiceUnavailable:
+			k.Refused++
+		case status >= 400:
+			k.Failed++
+		default:
+			if inTime {
+				k.InTime++
+			} else {
+				k.Late++
+			}
+			if hit {
+				k.Hits++
+			}
+			k.hist.RecordValue(max(took.Microseconds(), 1))
+		}
+		k.mu.Unlock()
+		mu.Lock()
+		res.Behind = max(res.Behind, float64(late.Microseconds())/1000)
+		i := min(int(r.Due/1000), seconds-1)
+		if res.Seconds[i].Due++; inTime {
+			res.Seconds[i].InTime++
+		}
+		if err == nil && status < 400 {
+			res.hists[i].RecordValue(max(took.Microseconds(), 1))
+		}
+		mu.Unlock()
+	}
+	draw := NewSessions(s)
+	for n := 0; ; n++ {
+		session, ok := draw.Next()
+		if !ok || !until(ctx, due(&session[0])) {
+			break
+		}
+		target := n % len(clients)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var parts sync.WaitGroup
+			for _, r := range session { // open-loop: a part is asked for when it is due, whatever became of the last
+				if r.Due >= s.Load.Length || !until(ctx, due(&r)) {
+					break
+				}
+				if asked.Add(1) > int64(s.Load.Most) {
+					mu.Lock()
+					res.Dropped++
+					mu.Unlock()
+					continue
+				}
+				parts.Add(1)
+				go func() { defer parts.Done(); one(r, target) }()
+			}
+			parts.Wait()
+		}()
+	}
+	wg.Wait()
+	for _, k := range res.Classes {
+		q := func(p float64) float64 { return float64(k.hist.ValueAtQuantile(p)) / 1000 }
+		k.P50, k.P90, k.P99, k.P999, k.Max = q(50), q(90), q(99), q(99.9), float64(k.hist.Max())/1000
+	}
+	for i, h := range res.hists {
+		res.Seconds[i].P50, res.Seconds[i].P99 = float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000
+	}
+	return res, ctx.Err()
+}
+
+func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) }
+
+func until(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func fetch(ctx context.Context, c *http.Client, target, path string) (status int, hit bool, n int64, err error) {
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+target+path, nil)
+	if err != nil {
+		return 0, false, 0, err
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return 0, false, 0, err
+	}
+	defer res.Body.Close()
+	n, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, isHit(res.Header.Get("Cache-Status")), n, err
+}
+
+// isHit reports whether the last member of a Cache-Status (RFC 9211), the cache
+// nearest to the client, says hit.
+func isHit(field string) bool {
+	last, quoted := 0, false
+	for i := range len(field) {
+		switch field[i] {
+		case '"':
+			quoted = !quoted
+		case ',':
+			if !quoted {
+				last = i + 1
+			}
+		}
+	}
+	for rest := field[last:]; rest != ""; {
+		var p string
+		if i := indexOutside(rest, ';'); i >= 0 {
+			p, rest = rest[:i], rest[i+1:]
+		} else {
+			p, rest = rest, ""
+		}
+		for len(p) > 0 && p[0] == ' ' {
+			p = p[1:]
+		}
+		if p == "hit" || p == "hit=?1" {
+			return true
+		}
+	}
+	return false
+}
+
+func indexOutside(s string, c byte) int {
+	quoted := false
+	for i := range len(s) {
+		switch {
+		case s[i] == '"':
+			quoted = !quoted
+		case s[i] == c && !quoted:
+			return i
+		}
+	}
+	return -1
+}
+
+// Text writes a result for reading.
+func (r *Result) Text(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\trequests\tin time\tlate\trefused\tfailed\tbroken\thits\tMB\tp50 ms\tp90 ms\tp99 ms\tp99.9 ms\tmax ms\t")
+	for _, c := range r.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", c.Class, c.Requests, c.InTime, c.Late, c.Refused,
+			c.Failed, c.Broken, c.Hits, c.MB, c.P50, c.P90, c.P99, c.P999, c.Max)
+	}
+	t.Flush()
+	if r.Dropped > 0 {
+		fmt.Fprintf(w, "%d requests past (most n) were not made\n", r.Dropped)
+	}
+	if r.Behind > 20 {
+		fmt.Fprintf(w, "this program was up to %.0f ms late in asking: its machine is short\n", r.Behind)
+	}
+}
