--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -37,7 +39,7 @@
 // record plays some requests through a core that records them; lives says how
 // often it starts.
 func record(t testing.TB, dir string, lives, requests int, change func([]spool.Action) []spool.Action) {
-	w, err := journal.Open(dir, journal.Options{Segment: 1 << 14})
+	w, err := journal.Open(dir, journal.Options{Segment: int64(max(1<<14, 64*requests)), Total: 1 << 40, Queue: 1 << 24})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -157,9 +159,14 @@
 	}
 }
 
-// How fast a journal is replayed, and what is resident meanwhile, by its length.
+// How fast a journal is replayed, and what is on the heap meanwhile, by its length;
+// REPLAY_REQUESTS adds another.
 func BenchmarkReplay(b *testing.B) {
-	for _, requests := range []int{2500, 25000, 250000} {
+	sizes := []int{2500, 25000, 250000}
+	if n, err := strconv.Atoi(os.Getenv("REPLAY_REQUESTS")); err == nil {
+		sizes = append(sizes, n)
+	}
+	for _, requests := range sizes {
 		b.Run(fmt.Sprint(requests, "-requests"), func(b *testing.B) {
 			dir := b.TempDir()
 			record(b, dir, 1, requests, nil)
