--- a/cmd/spool-explain/main.go
+++ b/cmd/spool-explain/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"os"
 
@@ -54,13 +53,7 @@
 					return err
 				}
 			}
-			if asJSON {
-				enc := json.NewEncoder(os.Stdout)
-				enc.SetIndent("", " ")
-				return enc.Encode(s)
-			}
-			s.Text(os.Stdout)
-			return nil
+			return cli.Tell(asJSON, s, s.Text)
 		}}
 	f := root.Flags()
 	f.StringVar(&id, "id", "", "id of a recorded request")
--- a/cmd/spool-load/main.go
+++ b/cmd/spool-load/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"os"
 
@@ -54,13 +53,7 @@
 					return err
 				}
 			}
-			if asJSON {
-				enc := json.NewEncoder(os.Stdout)
-				enc.SetIndent("", " ")
-				return enc.Encode(r)
-			}
-			r.Text(os.Stdout)
-			return nil
+			return cli.Tell(asJSON, r, r.Text)
 		}}
 	f := root.Flags()
 	f.StringSliceVar(&targets, "targets", nil, "routers, instead of the file's")
--- a/cmd/spool-replay/main.go
+++ b/cmd/spool-replay/main.go
@@ -1,60 +1,180 @@
 // Spool-replay tells a decision module again what a router's journal holds, and
-// compares its answers with those that were recorded.
+// compares its answers with those that were recorded; or tells what would have
+// happened with other settings or members; or makes the recorded requests again
+// against a running router.
 package main
 
 import (
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"indigospool/internal/cli"
+	"indigospool/internal/config"
 	"indigospool/internal/journal"
+	"indigospool/internal/load"
 	"indigospool/internal/replay"
+	"indigospool/internal/whatif"
 )
 
+// flags are the command line.
+type flags struct {
+	asJSON   bool
+	settings string
+	drop     []string
+	slow     []string
+	live     []string
+	speed    string
+	route    string
+	writes   bool
+	most     int
+	conns    int
+	plot     string
+}
+
 func main() {
-	var asJSON bool
+	var f flags
 	root := &cobra.Command{Use: "spool-replay JOURNAL", Short: "Replays a router's journal of decisions; exit 1 at a difference", Args: cobra.ExactArgs(1),
 		Long: "Replays a router's journal of decisions: a folder of segments, or one segment. Each event is\n" +
 			"told to the module of this program, and its answer compared with the recorded one. The first\n" +
-			"difference is shown with the records before it.",
-		Example: "  spool-replay /var/lib/spool/journal\n  spool-replay journal --json",
-		RunE: func(_ *cobra.Command, args []string) error {
-			j, err := journal.OpenReader(args[0])
-			if err != nil {
-				return err
-			}
-			defer j.Close()
-			began := time.Now()
-			r, err := replay.Run(j, nil)
-			if err != nil {
-				return &cli.FoundError{Err: err}
-			}
-			if asJSON {
-				enc := json.NewEncoder(os.Stdout)
-				enc.SetIndent("", " ")
-				if err := enc.Encode(r); err != nil {
-					return err
-				}
-			} else {
-				tell(os.Stdout, r, time.Since(began))
-			}
-			if r.Compared == 0 {
-				return &cli.FoundError{Err: replay.ErrNothing}
+			"difference is shown with the records before it.\n\n" +
+			"With --settings, --drop-member or --slow it tells what would have happened: the recorded\n" +
+			"requests and news run twice in simulated time before members that answer as the recorded ones\n" +
+			"did, as it was and changed. Exit 1 where that puts a rule at risk that was not.\n\n" +
+			"With --live the requests, of a journal or of an access log, are made again against running\n" +
+			"routers of this machine, when they were due; latencies count from then.",
+		Example: "  spool-replay /var/lib/spool/journal\n  spool-replay journal --json\n" +
+			"  spool-replay journal --drop-member north-3\n  spool-replay journal --slow parent-1=3 --settings new.edn\n" +
+			"  spool-replay journal --live 127.0.0.1:8080 --speed 2\n" +
+			"  spool-replay access.log --routes edge.edn --live 127.0.0.1:8080 --speed max --plot out",
+		RunE: func(c *cobra.Command, args []string) error {
+			switch {
+			case len(f.live) > 0 && (f.settings != "" || len(f.drop)+len(f.slow) > 0):
+				return errors.New("--live makes requests; --settings, --drop-member and --slow tell what would have been: give one or the other")
+			case len(f.live) > 0:
+				return live(c, &f, args[0])
+			case f.settings != "" || len(f.drop)+len(f.slow) > 0:
+				return whatIf(&f, args[0])
 			}
-			if !r.OK() {
-				return cli.ErrFound
-			}
-			return nil
+			return compare(&f, args[0])
 		}}
-	root.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
+	fl := root.Flags()
+	fl.BoolVar(&f.asJSON, "json", false, "print the result as JSON")
+	fl.StringVar(&f.settings, "settings", "", "what if the router had these settings (a file)")
+	fl.StringArrayVar(&f.drop, "drop-member", nil, "what if this member had never been listed (may be given again)")
+	fl.StringArrayVar(&f.slow, "slow", nil, "what if a member had taken so many times as long, as north-3=3 (may be given again)")
+	fl.StringSliceVar(&f.live, "live", nil, "make the requests again against these routers, host:port of this machine, in turn")
+	fl.StringVar(&f.speed, "speed", "1", "of --live: how many times as fast as they came, or max")
+	fl.StringVar(&f.route, "routes", "", "of --live: the settings whose routes say how requests stand in paths (default: the journal's own)")
+	fl.BoolVar(&f.writes, "writes", false, "of --live: make writes too, each with a new key and a body of zeros")
+	fl.IntVar(&f.most, "most", 1000000, "of --live: requests at most")
+	fl.IntVar(&f.conns, "conns", 512, "of --live: connections a router")
+	fl.StringVar(&f.plot, "plot", "", "of --live: write pictures PLOT-latency.svg and PLOT-seconds.svg")
 	cli.Main(root)
 }
 
+func compare(f *flags, path string) error {
+	j, err := journal.OpenReader(path)
+	if err != nil {
+		return err
+	}
+	defer j.Close()
+	began := time.Now()
+	r, err := replay.Run(j, nil)
+	if err != nil {
+		return &cli.FoundError{Err: err}
+	}
+	if err := cli.Tell(f.asJSON, r, func(w io.Writer) { tell(w, r, time.Since(began)) }); err != nil {
+		return err
+	}
+	if r.Compared == 0 {
+		return &cli.FoundError{Err: replay.ErrNothing}
+	}
+	if !r.OK() {
+		return cli.ErrFound
+	}
+	return nil
+}
+
+func whatIf(f *flags, path string) error {
+	ch := whatif.Change{Drop: f.drop, Slow: map[string]float64{}}
+	for _, one := range f.slow {
+		id, times, ok := strings.Cut(one, "=")
+		x, err := strconv.ParseFloat(times, 64)
+		if !ok || err != nil || !(x > 0) || id == "" {
+			return fmt.Errorf("--slow %q: write MEMBER=TIMES, as north-3=3", one)
+		}
+		ch.Slow[id] = x
+	}
+	if f.settings != "" {
+		ch.Settings = &config.Settings{}
+		if err := config.ReadFile(f.settings, ch.Settings); err != nil {
+			return &cli.FoundError{Err: err}
+		}
+	}
+	began := time.Now()
+	r, err := whatif.Compare(func() (*journal.Reader, error) { return journal.OpenReader(path) }, ch)
+	if err != nil {
+		return err
+	}
+	if err := cli.Tell(f.asJSON, r, func(w io.Writer) {
+		r.Text(w)
+		fmt.Fprintf(w, "%d events decided in %.1f s\n", r.Events(), time.Since(began).Seconds())
+	}); err != nil {
+		return err
+	}
+	for _, one := range r.Risks {
+		if one.Is > one.Was {
+			return cli.ErrFound
+		}
+	}
+	return nil
+}
+
+func live(c *cobra.Command, f *flags, path string) error {
+	speed, err := strconv.ParseFloat(f.speed, 64)
+	if f.speed == "max" {
+		speed, err = 0, nil
+	} else if err != nil || !(speed > 0) {
+		return fmt.Errorf("--speed %q: write how many times as fast, as 1 or 2.5, or max", f.speed)
+	}
+	var routes *config.Settings
+	if f.route != "" {
+		routes = &config.Settings{}
+		if err := config.ReadFile(f.route, routes); err != nil {
+			return &cli.FoundError{Err: err}
+		}
+	}
+	src, err := load.OpenRecord(path, load.RecordOptions{Routes: routes, Speed: speed, Writes: f.writes})
+	if err != nil {
+		return err
+	}
+	defer src.Close()
+	r, err := load.RunRecord(c.Context(), src, load.Form{Name: path, Targets: f.live, Conns: f.conns, Most: f.most})
+	if err != nil {
+		return err
+	}
+	if f.plot != "" {
+		if err := r.Plot(f.plot, "svg"); err != nil {
+			return err
+		}
+	}
+	if err := cli.Tell(f.asJSON, r, r.Text); err != nil {
+		return err
+	}
+	for _, k := range r.Classes {
+		if k.Broken > 0 || k.Failed > 0 {
+			return cli.ErrFound
+		}
+	}
+	return nil
+}
+
 func tell(w io.Writer, r *replay.Report, took time.Duration) {
 	fmt.Fprintf(w, "%d lives, %d events, %d actions; %d answers compared, %d equal, %d different; %.0f events a second\n",
 		r.Lives, r.Events, r.Actions, r.Compared, r.Equal, r.Different, float64(r.Events)/max(took.Seconds(), 1e-6))
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -55,6 +57,17 @@
 	}
 }
 
+// Tell prints a result on standard output: as JSON, or by its text.
+func Tell(asJSON bool, v any, text func(io.Writer)) error {
+	if !asJSON {
+		text(os.Stdout)
+		return nil
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", " ")
+	return enc.Encode(v)
+}
+
 // Main runs a program's root command and ends the process. The context ends at
 // SIGINT or SIGTERM.
 func Main(root *cobra.Command) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,9 +1,12 @@
 package core
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	spool "indigospool"
 	"indigospool/internal/config"
 	"indigospool/internal/http1"
@@ -242,3 +245,59 @@
 		t.Errorf("a member that came with a version: %+v, list %d", m, c.Rev())
 	}
 }
+
+// What a request was made of can be made again: Classify of Target is the request,
+// for generated requests of every route; what no route leads to is told.
+func TestTarget(t *testing.T) {
+	c := load(t)
+	rapid.Check(t, func(t *rapid.T) {
+		path := rapid.SampledFrom([]string{"/s/%d/a%d", "/v/%d/f%d/PART", "/r/x%d%d", "/o/y%d%d", "/x/%d/%d/z"}).Draw(t, "path")
+		path = fmt.Sprintf(path, rapid.IntRange(0, 99).Draw(t, "group"), rapid.IntRange(0, 9).Draw(t, "object"))
+		part := rapid.IntRange(0, 70000).Draw(t, "part")
+		msg := "GET "
+		if path[1] == 'o' {
+			msg = "POST "
+		}
+		msg += strings.Replace(path, "PART", fmt.Sprint(part), 1) + " HTTP/1.1\r\nIdempotency-Key: k\r\n"
+		if path[1] == 'r' {
+			msg += fmt.Sprintf("Range: bytes=%d-\r\n", part*65536)
+		}
+		if within := rapid.IntRange(0, 9000).Draw(t, "within"); within > 0 {
+			msg += fmt.Sprintf("X-Within: %d\r\n", within)
+		}
+		if kb := rapid.IntRange(0, 900).Draw(t, "kb"); kb > 0 {
+			msg += fmt.Sprintf("Spool-KB: %d\r\n", kb)
+		}
+		if rapid.Bool().Draw(t, "retry") {
+			msg += "Spool-Retry: 1\r\n"
+		}
+		var h http1.Head
+		if n, err := c.Parse([]byte(msg+"Host: h\r\n\r\n"), &h); n == 0 || err != nil {
+			t.Fatal(n, err)
+		}
+		q, err := c.Classify("q", 1000, &h)
+		if err != nil {
+			t.Fatal(msg, err)
+		}
+		target, err := c.Target(1000, &q)
+		if err != nil {
+			t.Fatal(msg, err)
+		}
+		again := target.Method + " " + target.Path + " HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n"
+		for _, f := range target.Fields {
+			again += f[0] + ": " + f[1] + "\r\n"
+		}
+		var h2 http1.Head
+		if n, err := c.Parse([]byte(again+"\r\n"), &h2); n == 0 || err != nil {
+			t.Fatal(again, n, err)
+		}
+		if q2, err := c.Classify("q", 1000, &h2); err != nil || q2 != q {
+			t.Fatalf("%q became %q: %+v is not %+v (%v)", msg, again, q2, q, err)
+		}
+	})
+	for _, q := range []spool.Request{{Class: "still", Object: "/nowhere/1"}, {Class: "none", Object: "/s/1/a"}, {Class: "still", Object: "/s/1/a b", Group: 1}} {
+		if got, err := c.Target(1, &q); err == nil {
+			t.Errorf("%+v became %+v", q, got)
+		}
+	}
+}
--- a/internal/journal/format.go
+++ b/internal/journal/format.go
@@ -20,13 +20,15 @@
 // and all before it.
 const FormatVersion = 1
 
+// Extension is that of a segment's file.
+const Extension = ".spj"
+
 const (
 	magic      = "SPOOLJ" // then two digits of the version
 	headLen    = 8        // of a segment's start
 	frameHead  = 8        // length and checksum of a record, little-endian
 	maxFrame   = 64 << 20 // of a record
 	namesKept  = 1 << 16  // strings of a segment's table; then it begins anew
-	extension  = ".spj"   // of a segment's file
 	partOfName = "%012d"  // its number
 )
 
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -57,7 +57,7 @@
 			return nil, err
 		}
 		if len(files) == 0 {
-			return nil, fmt.Errorf("journal: %s holds no segment *%s", path, extension)
+			return nil, fmt.Errorf("journal: %s holds no segment *%s", path, Extension)
 		}
 	}
 	return &Reader{files: files, index: -1}, nil
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -108,7 +108,7 @@
 	}
 	var out []string
 	for _, e := range all {
-		if strings.HasSuffix(e.Name(), extension) {
+		if strings.HasSuffix(e.Name(), Extension) {
 			out = append(out, filepath.Join(dir, e.Name()))
 		}
 	}
@@ -332,7 +332,7 @@
 
 // begin begins a segment, and removes the oldest past the bound.
 func (w *Writer) begin() error {
-	path := filepath.Join(w.dir, fmt.Sprintf(partOfName, w.index)+extension)
+	path := filepath.Join(w.dir, fmt.Sprintf(partOfName, w.index)+Extension)
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o644)
 	if err != nil {
 		return fmt.Errorf("journal: %w", err)
--- a/internal/load/arrivals.go
+++ b/internal/load/arrivals.go
@@ -70,18 +70,7 @@
 	add := func(p config.Pos, key, what, remedy string) {
 		*f = append(*f, config.Fault{Pos: p, Key: key, What: what, Remedy: remedy})
 	}
-	if len(s.Load.Targets) == 0 {
-		add(s.Load.Place.Pos, "load/targets", "no target is given", "add (targets host:port ...)")
-	}
-	for _, t := range s.Load.Targets {
-		host, _, err := net.SplitHostPort(t)
-		switch {
-		case err != nil:
-			add(s.Load.Place.Of("targets"), "load/targets", fmt.Sprintf("%q is no address", t), "write host:port, as 127.0.0.1:8080")
-		case host != "localhost" && !net.ParseIP(host).IsLoopback():
-			add(s.Load.Place.Of("targets"), "load/targets", fmt.Sprintf("%q is not a loopback address", t), "load goes to this machine only")
-		}
-	}
+	checkTargets(&s.Load, f)
 	if s.Load.Warm >= s.Load.Length {
 		add(s.Load.Place.Of("warm"), "load/warm", fmt.Sprintf("%v leaves nothing of %v", s.Load.Warm, s.Load.Length), "lower it")
 	}
@@ -100,11 +89,36 @@
 	}
 }
 
+// checkTargets tells what is wrong with the targets.
+func checkTargets(l *Form, f *config.Faults) {
+	add := func(p config.Pos, key, what, remedy string) {
+		*f = append(*f, config.Fault{Pos: p, Key: key, What: what, Remedy: remedy})
+	}
+	if len(l.Targets) == 0 {
+		add(l.Place.Pos, "load/targets", "no target is given", "add (targets host:port ...)")
+	}
+	for _, t := range l.Targets {
+		host, _, err := net.SplitHostPort(t)
+		switch {
+		case err != nil:
+			add(l.Place.Of("targets"), "load/targets", fmt.Sprintf("%q is no address", t), "write host:port, as 127.0.0.1:8080")
+		case host != "localhost" && !net.ParseIP(host).IsLoopback():
+			add(l.Place.Of("targets"), "load/targets", fmt.Sprintf("%q is not a loopback address", t), "load goes to this machine only")
+		}
+	}
+}
+
 // Request is one request that is due.
 type Request struct {
 	Due   float64 // ms from the beginning
 	Class int
 	Path  string
+
+	// of a record
+	Method string      // empty: GET
+	Fields [][2]string // of its head
+	Body   int64       // bytes of zeros
+	Aim    float64     // 0: the class's
 }
 
 // Session is one client's requests, in the order of time.
--- /dev/null
+++ b/internal/load/record.go
@@ -0,0 +1,322 @@
+package load
+
+import (
+	"bufio"
+	"container/heap"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+	"indigospool/internal/journal"
+)
+
+// RecordOptions say how a record is made again.
+type RecordOptions struct {
+	Routes *config.Settings // whose routes say how requests stand in paths; a journal brings its own
+	Speed  float64          // times as fast; 0: as fast as it goes
+	Writes bool             // make writes too
+}
+
+// LeftOut is why requests of a record are not made again.
+type LeftOut struct {
+	Why   string `json:"why"`
+	Count int64  `json:"count"`
+}
+
+// Record is the requests of a router's journal, or of its access log, to be made
+// again. It is read as it goes, in bounded memory.
+type Record struct {
+	o       RecordOptions
+	next    func() (float64, *spool.Request, error) // when it came, on any clock that goes forward
+	close   func()
+	core    *core.Core
+	classes []Class
+	place   map[string]int
+	base    float64 // the first one's time
+	any     bool
+	last    float64 // due
+	n       int
+	out     map[string]int64
+	err     error
+}
+
+// OpenRecord opens a journal (a folder, or a segment) or an access log.
+func OpenRecord(path string, o RecordOptions) (*Record, error) {
+	st, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	r := &Record{o: o, place: map[string]int{}, out: map[string]int64{}}
+	if o.Routes != nil {
+		if err := r.routes(o.Routes); err != nil {
+			return nil, err
+		}
+	}
+	if st.IsDir() || strings.HasSuffix(path, journal.Extension) {
+		j, err := journal.OpenReader(path)
+		if err != nil {
+			return nil, err
+		}
+		r.close = j.Close
+		r.next = func() (float64, *spool.Request, error) { return r.journal(j) }
+		return r, nil
+	}
+	if o.Routes == nil {
+		return nil, fmt.Errorf("load: %s is taken for an access log, which does not say how requests stand in paths: give the router's settings (--routes FILE)", path)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	r.close = func() { f.Close() }
+	l := &accessLog{br: bufio.NewReaderSize(f, 1<<16), file: path}
+	r.next = l.next
+	return r, nil
+}
+
+// Close ends reading.
+func (r *Record) Close() { r.close() }
+
+func (r *Record) routes(s *config.Settings) error {
+	c, err := core.New(s, 1)
+	if err != nil {
+		return err
+	}
+	r.core = c
+	for _, k := range s.Classes {
+		if _, known := r.place[k.Name]; !known {
+			r.place[k.Name] = len(r.classes)
+			r.classes = append(r.classes, Class{Name: k.Name, Aim: k.Aim, Deadline: k.Deadline})
+		}
+	}
+	return nil
+}
+
+// journal is the next request of a journal.
+func (r *Record) journal(j *journal.Reader) (float64, *spool.Request, error) {
+	for {
+		e, err := j.Next()
+		if err != nil {
+			return 0, nil, err
+		}
+		text := ""
+		switch e.Kind {
+		case journal.KindLife:
+			text = e.Life.Settings
+		case journal.KindSettings:
+			text = e.Settings
+		case journal.KindGap:
+			r.out["they stand in a gap of the journal"] += int64(e.Lost)
+		case journal.KindHandled:
+			if q, ok := e.Event.(spool.Request); ok && r.core != nil {
+				return e.T, &q, nil
+			} else if ok {
+				r.out["they stand before the settings of their router (start at an earlier segment, or give --routes)"]++
+			}
+		}
+		if text != "" && r.o.Routes == nil {
+			s := &config.Settings{}
+			if err := config.Read("journal", text, s); err != nil {
+				return 0, nil, fmt.Errorf("load: the settings at byte %d of %s: %w", e.Offset, e.Segment, err)
+			}
+			if err := r.routes(s); err != nil {
+				return 0, nil, err
+			}
+		}
+	}
+}
+
+// Next is the next request, as a session of its own.
+func (r *Record) Next() (Session, bool) {
+	for {
+		t, q, err := r.next()
+		if err != nil {
+			if err != io.EOF {
+				r.err = err
+			}
+			return nil, false
+		}
+		if q.Write && !r.o.Writes {
+			r.out["they write (--writes makes them)"]++
+			continue
+		}
+		target, err := r.core.Target(t, q)
+		if err != nil {
+			r.out[shorten(err.Error())]++
+			continue
+		}
+		if !r.any {
+			r.any, r.base = true, t
+		}
+		one := Request{Class: r.place[q.Class], Path: target.Path, Method: target.Method, Fields: target.Fields}
+		if k := r.class(q.Class); k != nil && q.KB > 0 && r.core.Settings.Fill.FlowKB > 0 {
+			one.Aim = k.Aim + k.AimStretch*q.KB/r.core.Settings.Fill.FlowKB
+		}
+		if q.Write {
+			r.n++
+			one.Fields = append(one.Fields, [2]string{"Idempotency-Key", fmt.Sprintf("replayed-%d-%d", time.Now().UnixNano(), r.n)})
+			one.Body = int64(q.KB * 1024)
+		}
+		if at := t - r.base; r.o.Speed > 0 {
+			// a clock that was set back, or a machine that started anew: go on from where it was
+			if at/r.o.Speed < r.last-mostBack {
+				r.base = t - r.last*r.o.Speed
+				at = t - r.base
+			}
+			r.last = max(at/r.o.Speed, r.last)
+			one.Due = r.last
+		}
+		return Session{one}, true
+	}
+}
+
+const mostBack = 5000 // ms by which requests may stand out of order
+
+func shorten(s string) string {
+	if len(s) > 160 {
+		s = s[:160] + "..."
+	}
+	return s
+}
+
+func (r *Record) class(name string) *config.Class {
+	for i := range r.core.Settings.Classes {
+		if k := &r.core.Settings.Classes[i]; k.Name == name {
+			return k
+		}
+	}
+	return nil
+}
+
+// RunRecord makes a record's requests again, and returns when its last answer is
+// there. Of the form, targets, connections and the most requests count.
+func RunRecord(ctx context.Context, r *Record, f Form) (*Result, error) {
+	var faults config.Faults
+	if checkTargets(&f, &faults); len(faults) > 0 {
+		return nil, faults
+	}
+	f.Length, f.Warm, f.Conns, f.Most = 0, 0, max(f.Conns, 1), max(f.Most, 1)
+	// the first request is read ahead: classes are known with it
+	first, ok := r.Next()
+	if !ok && r.err == nil {
+		return nil, errors.Join(fmt.Errorf("load: %s has no request that can be made again", f.Name), r.leftOut())
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	res, err := run(ctx, &f, r.classes, &ahead{first, r, len(r.classes)}, r.o.Speed == 0)
+	if err == nil {
+		err = r.err
+	}
+	for why, n := range r.out {
+		res.LeftOut = append(res.LeftOut, LeftOut{why, n})
+	}
+	sort.Slice(res.LeftOut, func(i, j int) bool { return res.LeftOut[i].Why < res.LeftOut[j].Why })
+	return res, err
+}
+
+func (r *Record) leftOut() (err error) {
+	for why, n := range r.out {
+		err = errors.Join(err, fmt.Errorf("%d were left out: %s", n, why))
+	}
+	return err
+}
+
+// ahead gives back what was read ahead, and leaves out classes that came later.
+type ahead struct {
+	first   Session
+	r       *Record
+	classes int
+}
+
+func (a *ahead) Next() (Session, bool) {
+	if s := a.first; s != nil {
+		a.first = nil
+		return s, true
+	}
+	for {
+		s, ok := a.r.Next()
+		if !ok || s[0].Class < a.classes {
+			return s, ok
+		}
+		a.r.out["their class came with a later version of the settings"]++
+	}
+}
+
+// accessLog reads a router's access log. Lines stand in the order of ends; they
+// are put into that of beginnings, as far as ends are mostBehind apart.
+type accessLog struct {
+	br    *bufio.Reader
+	file  string
+	line  int
+	wait  logged
+	ended bool
+	last  float64 // end of the last line
+}
+
+const mostBehind = 60000 // ms: longer than clients wait
+
+type logLine struct {
+	Msg    string  `json:"msg"`
+	TS     string  `json:"ts"`
+	ID     string  `json:"id"`
+	Class  string  `json:"class"`
+	Object string  `json:"object"`
+	Part   int     `json:"part"`
+	MS     float64 `json:"ms"`
+	end    float64
+}
+
+type logged []*logLine
+
+func (l logged) Len() int           { return len(l) }
+func (l logged) Less(i, j int) bool { return l[i].end-l[i].MS < l[j].end-l[j].MS }
+func (l logged) Swap(i, j int)      { l[i], l[j] = l[j], l[i] }
+func (l *logged) Push(x any)        { *l = append(*l, x.(*logLine)) }
+func (l *logged) Pop() any {
+	old := *l
+	x := old[len(old)-1]
+	*l = old[:len(old)-1]
+	return x
+}
+
+const logTime = "2006-01-02T15:04:05.000Z0700"
+
+func (l *accessLog) next() (float64, *spool.Request, error) {
+	for !l.ended && (len(l.wait) == 0 || l.last-mostBehind < l.wait[0].end-l.wait[0].MS) {
+		text, err := l.br.ReadBytes('\n')
+		if err != nil {
+			l.ended = true // a last line that is cut is no line
+			break
+		}
+		l.line++
+		one := &logLine{}
+		if err := json.Unmarshal(text, one); err != nil {
+			return 0, nil, fmt.Errorf("load: %s:%d is no line of an access log: %q: %w", l.file, l.line, text[:min(60, len(text))], err)
+		}
+		if one.Msg != "request" || one.Class == "" {
+			continue // a router's own message, or a request that no route took
+		}
+		at, err := time.Parse(logTime, one.TS)
+		if err != nil {
+			return 0, nil, fmt.Errorf("load: %s:%d: the time %.60q: %w", l.file, l.line, one.TS, err)
+		}
+		one.end = float64(at.UnixMicro()) / 1000
+		l.last = max(l.last, one.end)
+		heap.Push(&l.wait, one)
+	}
+	if len(l.wait) == 0 {
+		return 0, nil, io.EOF
+	}
+	one := heap.Pop(&l.wait).(*logLine)
+	return one.end - one.MS, &spool.Request{ID: one.ID, Class: one.Class, Object: one.Object, Part: one.Part, Group: core.AnyGroup}, nil
+}
--- /dev/null
+++ b/internal/load/record_test.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+
+	"indigospool/internal/journal"
+)
+
+const routes = `(router (zone z)) (fill (range-kb 64))
+(class still (deadline 3000)) (class film (parts) (deadline 6000)) (class order (write) (effect single-shot))
+(route "/s/{group}/{object}" (class still)) (route "/v/{group}/{object}/{part}" (class film)) (route "/r/{object}" (class film) (ranges))
+(route "/o/{object}" (class order))
+(member b1 (zone z) (address "127.0.0.1:1"))
+`
+
+// hearer is a server that keeps what it is asked for.
+type hearer struct {
+	mu   sync.Mutex
+	seen []string
+	at   []time.Time
+}
+
+func (h *hearer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.at = append(h.at, time.Now())
+	h.seen = append(h.seen, strings.TrimSpace(r.Method+" "+r.URL.Path+" "+r.Header.Get("Range")+r.Header.Get("Spool-Deadline")+r.Header.Get("Spool-KB")))
+}
+
+// made keeps a journal of requests at their times.
+func made(t *testing.T, at []float64, q []spool.Request) string {
+	t.Helper()
+	dir := t.TempDir()
+	w, err := journal.Open(dir, journal.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &config.Settings{}
+	if err := config.Read("t", routes, s); err != nil {
+		t.Fatal(err)
+	}
+	w.Life(journal.Life{Name: "r", Seed: 1, Settings: config.Print(s)})
+	for i := range q {
+		q[i].ID = fmt.Sprint(i)
+		w.Handled(at[i], q[i], nil)
+		w.Handled(at[i], spool.Gone{ID: q[i].ID}, nil)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+func again(t *testing.T, path string, o RecordOptions) (*Result, *hearer, error) {
+	t.Helper()
+	h := &hearer{}
+	srv := httptest.NewServer(h)
+	defer srv.Close()
+	r, err := OpenRecord(path, o)
+	if err != nil {
+		return nil, h, err
+	}
+	defer r.Close()
+	res, err := RunRecord(context.Background(), r, Form{Name: path, Targets: []string{strings.TrimPrefix(srv.URL, "http://")}, Conns: 4, Most: 1000})
+	return res, h, err
+}
+
+var recorded = []spool.Request{
+	{Class: "still", Object: "/s/3/a", Group: 3, Deadline: 99000},
+	{Class: "film", Object: "/v/3/b", Group: 3, Part: 7, KB: 12.5, Deadline: 99000},
+	{Class: "film", Object: "/r/b", Group: -1, Part: 2, Deadline: 99000},
+	{Class: "order", Object: "/o/b", Group: -1, Write: true, KB: 2, Deadline: 99000},
+	{Class: "still", Object: "/s/4/late", Group: 4, Deadline: 1700},
+}
+
+var clocks = []float64{1000, 1200, 1400, 1500, 1600}
+
+// A journal's requests are made again as they stood, when they were due; writes
+// only where that is asked for.
+func TestRecordOfJournal(t *testing.T) {
+	dir := made(t, clocks, recorded)
+	res, h, err := again(t, dir, RecordOptions{Speed: 2})
+	want := []string{"GET /s/3/a", "GET /v/3/b/7 12.5", "GET /r/b bytes=131072-196607", "GET /s/4/late 100"}
+	if err != nil || fmt.Sprint(h.seen) != fmt.Sprint(want) || len(res.LeftOut) != 1 || res.LeftOut[0].Count != 1 {
+		t.Fatalf("%v: %q, want %q; left out %+v", err, h.seen, want, res.LeftOut)
+	}
+	if span := h.at[3].Sub(h.at[0]); span < 250*time.Millisecond {
+		t.Errorf("600 ms came again in %v, not 300 ms", span)
+	}
+	if res, h, err = again(t, dir, RecordOptions{Speed: 0, Writes: true}); err != nil || len(h.seen) != 5 || len(res.LeftOut) != 0 {
+		t.Errorf("%v: %q; %+v", err, h.seen, res)
+	}
+	n := int64(0)
+	for _, k := range res.Classes {
+		n += k.InTime
+	}
+	if n != 5 {
+		t.Errorf("%d in time", n)
+	}
+}
+
+// A clock that was set back by an hour does not hold the replay up.
+func TestRecordClockSetBack(t *testing.T) {
+	began := time.Now()
+	_, h, err := again(t, made(t, []float64{4e6, 4e6 + 100, 50, 150, 250}, recorded), RecordOptions{Speed: 1, Writes: true})
+	if took := time.Since(began); err != nil || len(h.seen) != 5 || took > 20*time.Second || took < 250*time.Millisecond {
+		t.Errorf("%v: %q in %v", err, h.seen, took)
+	}
+}
+
+// An access log's lines stand in the order of ends, and are made in that of beginnings.
+func TestRecordOfAccessLog(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "access.log")
+	line := func(ts, class, object string, part int, ms float64) string {
+		return fmt.Sprintf(`{"level":"info","ts":"2026-12-01T10:00:%sZ","msg":"request","id":"x","class":%q,"object":%q,"part":%d,"status":200,"ms":%v}`+"\n", ts, class, object, part, ms)
+	}
+	text := line("01.000", "still", "/s/1/second", 0, 20) + line("01.010", "film", "/v/1/first", 3, 900) +
+		`{"level":"warn","msg":"list"}` + "\n" + line("01.400", "still", "/s/1/third", 0, 5) + line("01.500", "", "/none", 0, 5) +
+		line("01.500", "still", "/elsewhere", 0, 5)
+	if err := os.WriteFile(file, []byte(text+`{"msg":"requ`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := &config.Settings{}
+	if err := config.Read("t", routes, s); err != nil {
+		t.Fatal(err)
+	}
+	res, h, err := again(t, file, RecordOptions{Routes: s, Speed: 1})
+	want := []string{"GET /v/1/first/3", "GET /s/1/second", "GET /s/1/third"}
+	if err != nil || fmt.Sprint(h.seen) != fmt.Sprint(want) || len(res.LeftOut) != 1 || !strings.Contains(res.LeftOut[0].Why, "/elsewhere") {
+		t.Errorf("%v: %q, want %q; %+v", err, h.seen, want, res)
+	}
+	if _, _, err := again(t, file, RecordOptions{Speed: 1}); err == nil || !strings.Contains(err.Error(), "--routes") {
+		t.Errorf("without routes: %v", err)
+	}
+	os.WriteFile(file, []byte("\x1b[31mno log\n"), 0o600)
+	if _, _, err := again(t, file, RecordOptions{Routes: s, Speed: 1}); err == nil || !strings.Contains(err.Error(), `:1 is no line`) || strings.Contains(err.Error(), "\x1b") {
+		t.Errorf("no log: %v", err)
+	}
+}
+
+func TestRecordTargets(t *testing.T) {
+	r, err := OpenRecord(made(t, clocks, recorded), RecordOptions{Speed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	if _, err := RunRecord(context.Background(), r, Form{Targets: []string{"192.0.2.1:80"}}); err == nil || !strings.Contains(err.Error(), "loopback") {
+		t.Errorf("a target elsewhere: %v", err)
+	}
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -48,27 +48,34 @@
 	Name    string         `json:"name,omitempty"`
 	Classes []*ClassResult `json:"classes"`
 	Seconds []Second       `json:"seconds"`
-	Dropped int64          `json:"dropped"`   // past (most n)
-	Behind  float64        `json:"behind_ms"` // most by which this program was late in asking: above some ms its machine is short
+	Dropped int64          `json:"dropped"` // past (most n)
+	Took    float64        `json:"took_s"`
+	LeftOut []LeftOut      `json:"left_out,omitempty"` // of a record: requests that were not made again
+	Behind  float64        `json:"behind_ms"`          // most by which this program was late in asking: above some ms its machine is short
 
 	hists []*hdrhistogram.Histogram // by second
 }
 
+// source is where requests come from, in the order of the beginnings of sessions.
+type source interface {
+	Next() (Session, bool)
+}
+
 // Run makes the load, and returns when its last answer is there.
 func Run(ctx context.Context, s *Script) (*Result, error) {
-	res := &Result{Name: s.Load.Name}
-	for i := range s.Classes {
-		res.Classes = append(res.Classes, &ClassResult{Class: s.Classes[i].Name, hist: newHist()})
-	}
-	seconds := int(s.Load.Length/1000) + 1
-	res.Seconds = make([]Second, seconds)
-	for i := range res.Seconds {
-		res.Seconds[i].Second = i
-		res.hists = append(res.hists, newHist())
+	return run(ctx, &s.Load, s.Classes, NewSessions(s), false)
+}
+
+// run makes the requests of a source. Without a length the source ends by itself.
+// At full speed each is due when a connection is free for it, and no sooner.
+func run(ctx context.Context, f *Form, classes []Class, src source, full bool) (*Result, error) {
+	res := &Result{Name: f.Name}
+	for i := range classes {
+		res.Classes = append(res.Classes, &ClassResult{Class: classes[i].Name, hist: newHist()})
 	}
 	var clients []*http.Client
-	for range s.Load.Targets {
-		t := &http.Transport{MaxConnsPerHost: s.Load.Conns, MaxIdleConnsPerHost: s.Load.Conns, DisableCompression: true,
+	for range f.Targets {
+		t := &http.Transport{MaxConnsPerHost: f.Conns, MaxIdleConnsPerHost: f.Conns, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: 5 * time.Second}).DialContext}
 		clients = append(clients, &http.Client{Transport: t})
 		defer t.CloseIdleConnections()
@@ -76,20 +83,25 @@
 	var mu sync.Mutex // of seconds and Behind
 	var wg sync.WaitGroup
 	var asked atomic.Int64
+	places := make(chan struct{}, f.Conns*len(f.Targets))
 	begin := time.Now()
 	due := func(r *Request) time.Time { return begin.Add(time.Duration(r.Due * float64(time.Millisecond))) }
 	one := func(r Request, target int) {
-		c, k := &s.Classes[r.Class], res.Classes[r.Class]
+		c, k := &classes[r.Class], res.Classes[r.Class]
 		at := due(&r)
 		late := time.Since(at)
 		rctx, cancel := context.WithDeadline(ctx, at.Add(time.Duration(c.Deadline*float64(time.Millisecond))))
 		defer cancel()
-		status, hit, n, err := fetch(rctx, clients[target], s.Load.Targets[target], r.Path)
+		status, hit, n, err := fetch(rctx, clients[target], f.Targets[target], &r)
 		took := time.Since(at)
-		if r.Due < s.Load.Warm {
+		if r.Due < f.Warm {
 			return
 		}
-		inTime := err == nil && status < 400 && float64(took.Microseconds())/1000 <= c.Aim
+		aim := c.Aim
+		if r.Aim > 0 {
+			aim = r.Aim
+		}
+		inTime := err == nil && status < 400 && float64(took.Microseconds())/1000 <= aim
 		k.mu.Lock()
 		k.Requests++
 		k.MB += float64(n) / (1 << 20)
@@ -114,7 +126,11 @@
 		k.mu.Unlock()
 		mu.Lock()
 		res.Behind = max(res.Behind, float64(late.Microseconds())/1000)
-		i := min(int(r.Due/1000), seconds-1)
+		i := int(r.Due / 1000)
+		for len(res.Seconds) <= i {
+			res.Seconds = append(res.Seconds, Second{Second: len(res.Seconds)})
+			res.hists = append(res.hists, newSecond())
+		}
 		if res.Seconds[i].Due++; inTime {
 			res.Seconds[i].InTime++
 		}
@@ -123,22 +139,34 @@
 		}
 		mu.Unlock()
 	}
-	draw := NewSessions(s)
 	for n := 0; ; n++ {
-		session, ok := draw.Next()
-		if !ok || !until(ctx, due(&session[0])) {
+		session, ok := src.Next()
+		if !ok {
+			break
+		}
+		if full {
+			select {
+			case places <- struct{}{}:
+			case <-ctx.Done():
+			}
+			session[0].Due = float64(time.Since(begin).Microseconds()) / 1000
+		}
+		if !until(ctx, due(&session[0])) {
 			break
 		}
 		target := n % len(clients)
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			if full {
+				defer func() { <-places }()
+			}
 			var parts sync.WaitGroup
 			for _, r := range session { // open-loop: a part is asked for when it is due, whatever became of the last
-				if r.Due >= s.Load.Length || !until(ctx, due(&r)) {
+				if f.Length > 0 && r.Due >= f.Length || !until(ctx, due(&r)) {
 					break
 				}
-				if asked.Add(1) > int64(s.Load.Most) {
+				if asked.Add(1) > int64(f.Most) {
 					mu.Lock()
 					res.Dropped++
 					mu.Unlock()
@@ -151,6 +179,7 @@
 		}()
 	}
 	wg.Wait()
+	res.Took = time.Since(begin).Seconds()
 	for _, k := range res.Classes {
 		q := func(p float64) float64 { return float64(k.hist.ValueAtQuantile(p)) / 1000 }
 		k.P50, k.P90, k.P99, k.P999, k.Max = q(50), q(90), q(99), q(99.9), float64(k.hist.Max())/1000
@@ -161,6 +190,9 @@
 	return res, ctx.Err()
 }
 
+// newSecond is for one second's answers: coarser, since there may be many.
+func newSecond() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 2) }
+
 func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) }
 
 func until(ctx context.Context, at time.Time) bool {
@@ -178,11 +210,22 @@
 	}
 }
 
-func fetch(ctx context.Context, c *http.Client, target, path string) (status int, hit bool, n int64, err error) {
-	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+target+path, nil)
+func fetch(ctx context.Context, c *http.Client, target string, r *Request) (status int, hit bool, n int64, err error) {
+	method, body := r.Method, io.Reader(nil)
+	if method == "" {
+		method = "GET"
+	}
+	if r.Body > 0 {
+		body = io.LimitReader(zeros{}, r.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+target+r.Path, body)
 	if err != nil {
 		return 0, false, 0, err
 	}
+	req.ContentLength = r.Body
+	for _, f := range r.Fields {
+		req.Header.Set(f[0], f[1])
+	}
 	res, err := c.Do(req)
 	if err != nil {
 		return 0, false, 0, err
@@ -192,6 +235,14 @@
 	return res.StatusCode, isHit(res.Header.Get("Cache-Status")), n, err
 }
 
+// zeros reads as zeros without end.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) {
+	clear(b)
+	return len(b), nil
+}
+
 // isHit reports whether the last member of a Cache-Status (RFC 9211), the cache
 // nearest to the client, says hit.
 func isHit(field string) bool {
@@ -248,6 +299,9 @@
 	if r.Dropped > 0 {
 		fmt.Fprintf(w, "%d requests past (most n) were not made\n", r.Dropped)
 	}
+	for _, l := range r.LeftOut {
+		fmt.Fprintf(w, "%d requests were left out: %s\n", l.Count, l.Why)
+	}
 	if r.Behind > 20 {
 		fmt.Fprintf(w, "this program was up to %.0f ms late in asking: its machine is short\n", r.Behind)
 	}
--- /dev/null
+++ b/internal/whatif/sim.go
@@ -0,0 +1,361 @@
+// Package whatif runs routers' cores in simulated time, before members that are
+// modelled: arrivals and news come from the caller, a World answers attempts, the
+// module decides all else. It is what a changed list or other settings are tried
+// on (spool-replay's what-if, spool-fleet).
+//
+// It makes no decision of a router's and does no I/O but to read a journal that it
+// is given. What it says of outcomes is a model's word, and never proof of a rule:
+// proof is what passed on sockets (internal/rules).
+//
+// sim.go is the clock and what a router's sockets would do; recorded.go a World
+// learned from a journal; boxes.go a World of cache models; compare.go two runs
+// side by side; risk.go the rules, as far as a run without sockets shows them.
+package whatif
+
+import (
+	"container/heap"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+)
+
+// Answer is how a modelled member deals with an attempt. Spans count from the
+// moment of the attempt, in ms.
+type Answer struct {
+	Result spool.Result
+	Note   spool.Note
+	Begins float64 // the first byte of a streamed answer; only of OK
+	Took   float64
+	Never  bool // nothing is heard of it until it is called back or timed out
+	Load   []float64
+}
+
+// World answers attempts. Now only goes forward over the calls of one Sim.
+type World interface {
+	// Attempt begins the n-th attempt of a request.
+	Attempt(now float64, q *spool.Request, n int, s *spool.Send) Answer
+	// Ended says that an attempt is over, also one that was called back.
+	Ended(now float64, q *spool.Request, s *spool.Send, a *Answer, result spool.Result)
+	// News tells of members and purges, as the router is told them.
+	News(now float64, ev spool.Event)
+}
+
+// Watcher sees a run as it goes. Its functions may be nil.
+type Watcher struct {
+	Sent  func(r *Router, h *Held, s *spool.Send, looks []spool.Look)
+	Waits func(r *Router, h *Held, looks []spool.Look) // nothing was sent, and it is not over
+	Ended func(r *Router, h *Held, t *Try)             // an attempt is over
+	Over  func(r *Router, h *Held)                     // a request is over
+}
+
+// End says how a request ended.
+type End uint8
+
+// The ends.
+const (
+	Open    End = iota
+	Served      // a member's answer, whole
+	Broken      // it broke off after it had begun
+	Refused     // the module turned it away
+	Failed      // the module gave it up
+	Left        // its client left
+	Cut         // the run ended first
+)
+
+var endWords = [...]string{"open", "served", "broken", "refused", "failed", "left", "cut"}
+
+func (e End) String() string { return endWords[e] }
+
+// Try is one attempt of a request.
+type Try struct {
+	Send   spool.Send
+	At     float64 // when it was made
+	Took   float64
+	Result spool.Result
+	Done   bool
+	begun  bool
+	answer Answer
+}
+
+// Held is a request that a router holds, or held.
+type Held struct {
+	Q     spool.Request
+	Came  float64
+	Over  float64
+	End   End
+	Tries []*Try
+	Tag   any // the watcher's
+	open  int
+	begun bool // the client has the first byte
+}
+
+// Router is one router of a Sim.
+type Router struct {
+	Core  *core.Core
+	Name  string
+	World World
+	held  map[string]*Held
+	looks []spool.Look
+	acts  []spool.Action
+}
+
+// Sim is a clock with routers.
+type Sim struct {
+	Now     float64
+	Events  int64 // that modules were told
+	Watch   Watcher
+	Explain bool // looks are wanted
+	routers []*Router
+	queue   due
+	seq     int64
+}
+
+// Add puts a router into the run.
+func (s *Sim) Add(name string, c *core.Core, w World) *Router {
+	r := &Router{Core: c, Name: name, World: w, held: map[string]*Held{}}
+	s.routers = append(s.routers, r)
+	if s.Explain {
+		c.Explain(func(l spool.Look) { r.looks = append(r.looks, l) })
+	}
+	return r
+}
+
+// Routers are those that were added, in their order.
+func (s *Sim) Routers() []*Router { return s.routers }
+
+// moment is something that comes due. One of tell and f is set.
+type moment struct {
+	t   float64
+	seq int64 // those of one time come in the order in which they were set
+	r   *Router
+	ev  spool.Event
+	f   func()
+}
+
+type due []moment
+
+func (d due) Len() int           { return len(d) }
+func (d due) Less(i, j int) bool { return d[i].t < d[j].t || d[i].t == d[j].t && d[i].seq < d[j].seq }
+func (d due) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *due) Push(x any)        { *d = append(*d, x.(moment)) }
+func (d *due) Pop() any {
+	old := *d
+	m := old[len(old)-1]
+	old[len(old)-1] = moment{}
+	*d = old[:len(old)-1]
+	return m
+}
+
+// At has f run at a time, not before now.
+func (s *Sim) At(t float64, f func()) { s.push(moment{t: t, f: f}) }
+
+func (s *Sim) push(m moment) {
+	s.seq++
+	m.seq, m.t = s.seq, max(m.t, s.Now)
+	heap.Push(&s.queue, m)
+}
+
+// RunTo lets time pass up to t, and everything happen that is due before or then.
+func (s *Sim) RunTo(t float64) {
+	for len(s.queue) > 0 && s.queue[0].t <= t {
+		m := heap.Pop(&s.queue).(moment)
+		s.Now = max(s.Now, m.t)
+		if m.f != nil {
+			m.f()
+		} else {
+			s.Tell(m.r, m.ev)
+		}
+	}
+	s.Now = max(s.Now, t)
+}
+
+// Tell tells a router's module an event, now, and does what it wants done.
+func (s *Sim) Tell(r *Router, ev spool.Event) {
+	s.Events++
+	switch ev := ev.(type) {
+	case spool.Request:
+		if r.held[ev.ID] != nil {
+			return
+		}
+		h := &Held{Q: ev, Came: s.Now}
+		if ev.Deadline <= 0 {
+			h.Q.Deadline = s.Now + r.deadline(ev.Class)
+		}
+		r.held[ev.ID] = h
+	case spool.Gone:
+		if h := r.held[ev.ID]; h != nil {
+			s.over(r, h, Left)
+		} else {
+			return
+		}
+	case spool.Members, spool.Purge:
+		r.World.News(s.Now, ev)
+	}
+	r.looks = r.looks[:0]
+	acts := r.Core.Handle(s.Now, ev, r.acts[:0])
+	r.acts = nil // an action may lead to another event
+	s.carryOut(r, acts)
+	r.acts = acts[:0]
+	if q, ok := ev.(spool.Request); ok {
+		if h := r.held[q.ID]; h != nil && h.End == Open && len(h.Tries) == 0 && s.Watch.Waits != nil {
+			s.Watch.Waits(r, h, of(r.looks, q.ID))
+		}
+	}
+}
+
+// Resettle has a router go by other settings.
+func (s *Sim) Resettle(r *Router, set *config.Settings) error {
+	acts, err := r.Core.Resettle(s.Now, set, nil)
+	if err == nil {
+		s.carryOut(r, acts)
+	}
+	return err
+}
+
+func (r *Router) deadline(class string) float64 {
+	for i := range r.Core.Settings.Classes {
+		if c := &r.Core.Settings.Classes[i]; c.Name == class {
+			return c.Deadline
+		}
+	}
+	return 0
+}
+
+// of are the looks that concern a request, in their own slice.
+func of(all []spool.Look, id string) (out []spool.Look) {
+	for _, l := range all {
+		if l.Request == id {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (s *Sim) carryOut(r *Router, acts []spool.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case spool.Send:
+			s.send(r, a)
+		case spool.Refuse:
+			s.final(r, a.ID, Refused)
+		case spool.Fail:
+			s.final(r, a.ID, Failed)
+		case spool.Cancel:
+			if h := r.held[a.ID]; h != nil && a.Attempt < len(h.Tries) {
+				if t := h.Tries[a.Attempt]; !t.Done && !t.begun {
+					s.end(r, h, a.Attempt, spool.Cancelled, spool.NoteNone)
+				}
+			}
+		case spool.Wake:
+			s.push(moment{t: s.Now + a.In, r: r, ev: spool.Timer{Token: a.Token}})
+		case spool.Probe:
+			s.push(moment{t: s.Now + 1, r: r, ev: spool.Probed{Cache: a.Cache, OK: true}})
+		}
+	}
+}
+
+// send makes an attempt as the edge does: bounded by the request's time and the
+// module's own limit.
+func (s *Sim) send(r *Router, a spool.Send) {
+	h := r.held[a.ID]
+	if h == nil {
+		return
+	}
+	t := &Try{Send: a, At: s.Now}
+	n := len(h.Tries)
+	h.Tries = append(h.Tries, t)
+	h.open++
+	if s.Watch.Sent != nil {
+		s.Watch.Sent(r, h, &t.Send, of(r.looks, a.ID))
+	}
+	if h.End != Open {
+		s.At(s.Now, func() { s.end(r, h, n, spool.Moot, spool.NoteNone) })
+		return
+	}
+	t.answer = r.World.Attempt(s.Now, &h.Q, n, &t.Send)
+	left := h.Q.Deadline - s.Now
+	if a.Timeout > 0 {
+		left = min(left, a.Timeout)
+	}
+	if t.answer.Never || t.answer.Took > left && !(t.answer.Result == spool.OK && t.answer.Begins <= left) {
+		s.At(s.Now+left, func() { s.end(r, h, n, spool.TimedOut, spool.NoteNone) })
+		return
+	}
+	if t.answer.Result == spool.OK {
+		s.At(s.Now+min(t.answer.Begins, t.answer.Took), func() { s.begin(r, h, n) })
+	}
+	s.At(s.Now+t.answer.Took, func() { s.end(r, h, n, t.answer.Result, t.answer.Note) })
+}
+
+// begin is the first byte of an answer: it is the client's, the first to come wins.
+func (s *Sim) begin(r *Router, h *Held, n int) {
+	t := h.Tries[n]
+	if t.Done || h.End != Open || h.begun {
+		return
+	}
+	t.begun, h.begun = true, true
+	s.Tell(r, spool.Started{ID: h.Q.ID, Cache: t.Send.Cache, Attempt: n})
+}
+
+// end ends an attempt, and tells the module.
+func (s *Sim) end(r *Router, h *Held, n int, result spool.Result, note spool.Note) {
+	t := h.Tries[n]
+	if t.Done {
+		return
+	}
+	if result == spool.OK && !t.begun { // another was faster, or the request is over
+		result = spool.Cancelled
+	}
+	t.Done, t.Result, t.Took = true, result, s.Now-t.At
+	h.open--
+	r.World.Ended(s.Now, &h.Q, &t.Send, &t.answer, result)
+	if s.Watch.Ended != nil {
+		s.Watch.Ended(r, h, t)
+	}
+	last := h.End != Open
+	if h.End == Open && t.begun {
+		end := Served
+		if result != spool.OK {
+			end = Broken
+		}
+		last = true
+		s.over(r, h, end)
+	}
+	ev := spool.Outcome{ID: h.Q.ID, Cache: t.Send.Cache, Attempt: n, Result: result, Took: t.Took, Last: last,
+		Note: note, Load: t.answer.Load}
+	s.At(s.Now, func() { s.Tell(r, ev) }) // after what is being carried out
+	s.release(r, h)
+}
+
+func (s *Sim) final(r *Router, id string, e End) {
+	if h := r.held[id]; h != nil {
+		s.over(r, h, e)
+	}
+}
+
+func (s *Sim) over(r *Router, h *Held, e End) {
+	if h.End != Open {
+		return
+	}
+	h.End, h.Over = e, s.Now
+	if s.Watch.Over != nil {
+		s.Watch.Over(r, h)
+	}
+	s.release(r, h)
+}
+
+func (s *Sim) release(r *Router, h *Held) {
+	if h.End != Open && h.open == 0 {
+		delete(r.held, h.Q.ID)
+	}
+}
+
+// Finish ends what routers still hold, as cut.
+func (s *Sim) Finish() {
+	for _, r := range s.routers {
+		for _, h := range r.held {
+			s.over(r, h, Cut)
+		}
+	}
+}
--- /dev/null
+++ b/internal/whatif/whatif_test.go
@@ -0,0 +1,341 @@
+package whatif
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+	"indigospool/internal/journal"
+)
+
+const settings = `(router (name r) (zone z) (of 1)) (zone z (hub h) (routers 1) (link 40)) (zone h (hub h))
+(fill (direct) (flow 10) (sizes) (siblings location))
+(class still (aim 200) (deadline 2000)) (class film (parts) (aim 300) (deadline 3000))
+(class order (write) (effect single-shot) (deadline 2000))
+(route "/s/{group}/{object}" (class still)) (route "/v/{group}/{object}/{part}" (class film)) (route "/o/{object}" (class order))
+(member b1 (zone z) (size 10) (address "127.0.0.1:1")) (member b2 (zone z) (size 10) (address "127.0.0.1:2"))
+(member b3 (zone z) (size 10) (address "127.0.0.1:5"))
+(member p1 (kind parent) (zone h) (size 20) (address "127.0.0.1:3")) (member p2 (kind parent) (zone h) (size 20) (address "127.0.0.1:6"))
+(member o (kind origin) (zone h) (address "127.0.0.1:4"))
+`
+
+func read(t testing.TB, text string) *config.Settings {
+	t.Helper()
+	s := &config.Settings{}
+	if err := config.Read("test", text, s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func options(s *config.Settings) BoxOptions {
+	return BoxOptions{Flow: s.Fill.FlowKB, Sizes: s.Fill.Sizes, ParentKind: "parent", OriginKind: "origin",
+		ColdFrom: s.Rules.ColdFrom, ColdTime: s.Rules.ColdTime, Fall: s.Rules.FallFactor,
+		ParentColdFrom: s.Rules.ParentColdFrom, ParentColdTime: s.Rules.ParentColdTime, ParentFall: s.Rules.ParentFall,
+		FallTime: s.Rules.FallTime}
+}
+
+type recorder struct{ w *journal.Writer }
+
+func (r recorder) Handled(now float64, ev spool.Event, acts []spool.Action) {
+	r.w.Handled(now, ev, acts)
+}
+func (r recorder) Resettled(now float64, s *config.Settings, acts []spool.Action) {
+	r.w.Settings(now, 2, func() string { return config.Print(s) }, acts)
+}
+
+// record plays a router before cache models, and keeps its journal: requests a
+// second apart by the gap, a drain, a purge and a cold start on the way.
+func record(t testing.TB, requests int, gap float64) func() (*journal.Reader, error) {
+	t.Helper()
+	dir := t.TempDir()
+	w, err := journal.Open(dir, journal.Options{Queue: 1 << 22})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := read(t, settings)
+	c, err := core.New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Life(journal.Life{Name: "r", Seed: 1, Settings: config.Print(s)})
+	c.Recorder = recorder{w}
+	sim := &Sim{Now: 1000}
+	r := sim.Add("r", c, NewBoxes(options(s)))
+	news := func(n *core.News) {
+		for _, ev := range c.Apply(sim.Now, n).Events {
+			sim.Tell(r, ev)
+		}
+	}
+	news(core.FromSettings(s))
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range requests {
+		sim.RunTo(sim.Now + gap*rng.ExpFloat64())
+		o := int(rng.ExpFloat64() * 12)
+		q := spool.Request{ID: fmt.Sprint("q", i), Class: "still", Object: fmt.Sprintf("/s/%d/o%d", o%7, o), Group: o % 7, KB: 100}
+		if i%3 == 0 {
+			q.Class, q.Object, q.Part = "film", fmt.Sprintf("/v/%d/o%d", o%7, o), int(rng.ExpFloat64()*4)
+		}
+		if i%20 == 7 {
+			q.Class, q.Object, q.Group, q.Write = "order", fmt.Sprint("/o/", i), -1, true
+		}
+		sim.Tell(r, q)
+		switch i {
+		case requests / 3:
+			news(core.FromStep(1, s.Members[2:3], true)) // b3 comes back empty
+		case requests / 2:
+			news(&core.News{Rev: 1, How: "step", Members: []core.Row{{ID: "p2", Kind: "parent", Zone: "h", State: "draining", Size: 20}}})
+		case requests * 2 / 3:
+			sim.Tell(r, spool.Purge{Object: "/s/0/o0"})
+			sim.Tell(r, spool.Purge{Group: 1})
+		}
+	}
+	sim.RunTo(sim.Now + 5000)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return func() (*journal.Reader, error) { return journal.OpenReader(dir) }
+}
+
+func compared(t testing.TB, open func() (*journal.Reader, error), ch Change) *Report {
+	t.Helper()
+	r, err := Compare(open, ch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (r *Report) member(id string) MemberChange {
+	for _, m := range r.Members {
+		if m.Member == id {
+			return m
+		}
+	}
+	return MemberChange{}
+}
+
+// With nothing changed both runs are one, and nearly all requests go where they went.
+func TestNothingChanged(t *testing.T) {
+	r := compared(t, record(t, 3000, 10), Change{})
+	if r.Changed != 0 || r.Requests != 3000 || len(r.Causes) != 0 || r.Model < 0.97 || r.ModelPath < 0.95 || r.Cut > 5 {
+		t.Errorf("%+v", r)
+	}
+	for _, k := range r.Classes {
+		if k.Was.Requests != k.Is.Requests || k.Was.InTime != k.Is.InTime || k.Was.P99 != k.Is.P99 {
+			t.Errorf("%+v", k)
+		}
+	}
+	for _, one := range r.Risks {
+		if one.Was != one.Is {
+			t.Errorf("%+v", one)
+		}
+	}
+}
+
+// A member that had never been listed is given nothing, and its requests say why
+// they went elsewhere; nobody else's first attempts by the hash move.
+func TestDropMember(t *testing.T) {
+	r := compared(t, record(t, 2000, 10), Change{Drop: []string{"b1"}})
+	b1 := r.member("b1")
+	if b1.Was.Attempts < 100 || b1.Is.Attempts+b1.Is.Fills != 0 || r.Changed < b1.Was.Attempts/2 || r.Changed == r.Requests {
+		t.Errorf("%d changed: %+v", r.Changed, b1)
+	}
+	if len(r.Causes) == 0 || !strings.Contains(r.Causes[0].Why, "cache b1 is dropped") {
+		t.Errorf("%+v", r.Causes)
+	}
+	r = compared(t, record(t, 2000, 10), Change{Drop: []string{"b1", "b2", "b3", "p1", "p2", "o"}})
+	for _, k := range r.Classes {
+		if k.Is.Refused+k.Is.Failed != k.Is.Requests || k.Is.Attempts != 0 {
+			t.Errorf("with nobody there: %+v", k)
+		}
+	}
+}
+
+// One that takes three times as long is busy for longer, and classes get slower.
+func TestSlow(t *testing.T) {
+	r := compared(t, record(t, 2000, 10), Change{Slow: map[string]float64{"b2": 4}})
+	b2 := r.member("b2")
+	if per := func(l Load) float64 { return l.BusyMs / float64(l.Attempts) }; per(b2.Is) < 2*per(b2.Was) {
+		t.Errorf("%+v", b2)
+	}
+	if k := r.Classes[len(r.Classes)-1]; k.Class != "still" || k.Is.P99 <= k.Was.P99 {
+		t.Errorf("%+v", k)
+	}
+}
+
+// Other settings: with one attempt each there are no looks, so no request makes two.
+func TestOtherSettings(t *testing.T) {
+	s := read(t, strings.Replace(settings, "(router ", "(limits (attempts 1)) (router ", 1))
+	r := compared(t, record(t, 1500, 10), Change{Settings: s})
+	for _, k := range r.Classes {
+		if k.Is.Attempts > k.Is.Requests || k.Class == "still" && k.Was.Attempts <= k.Was.Requests {
+			t.Errorf("%+v", k)
+		}
+	}
+	if r.Changed == 0 {
+		t.Error("nothing changed")
+	}
+}
+
+func TestNoLife(t *testing.T) {
+	dir := t.TempDir()
+	w, err := journal.Open(dir, journal.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Handled(1, spool.Timer{}, nil)
+	w.Close()
+	if _, err := Compare(func() (*journal.Reader, error) { return journal.OpenReader(dir) }, Change{}); err == nil ||
+		!strings.Contains(err.Error(), "no life of a router") {
+		t.Error(err)
+	}
+}
+
+// Each rule's planted break is found, and what is right is not.
+func TestRisks(t *testing.T) {
+	s := read(t, settings)
+	still := spool.Request{ID: "q", Class: "still", Object: "/s/1/a", Group: 1, KB: 100, Deadline: 1000}
+	order := spool.Request{ID: "w", Class: "order", Object: "/o/1", Group: -1, Deadline: 1000, Write: true}
+	row := func(id, kind string, st spool.State, ready float64) spool.Members {
+		return spool.Members{Rows: []spool.Member{{ID: id, Zone: "z", Kind: kind, State: st, Size: 10, ReadyAt: ready}}}
+	}
+	look := spool.Send{ID: "q", Cache: "b1", Source: "b1", Keep: 1, Age: 1e9}
+	for _, k := range []struct {
+		name string
+		rule int
+		do   func(r *risks)
+	}{
+		{"late", 1, func(r *risks) { r.over(1100, &Held{Q: still, End: Refused}) }},
+		{"in time", 0, func(r *risks) { r.over(990, &Held{Q: still, End: Refused}) }},
+		{"a body that runs on", 0, func(r *risks) { r.over(1100, &Held{Q: still, End: Served, begun: true}) }},
+		{"a write again", 2, func(r *risks) {
+			r.sent(500, &Held{Q: order, Tries: []*Try{{At: 1, Done: true, Result: spool.TimedOut}, {At: 500}}}, &spool.Send{ID: "w", Cache: "o", Source: "o"})
+		}},
+		{"a write that never ran", 0, func(r *risks) {
+			r.sent(500, &Held{Q: order, Tries: []*Try{{At: 1, Done: true, Result: spool.ConnectFailed}, {At: 500}}}, &spool.Send{ID: "w", Cache: "o", Source: "o"})
+		}},
+		{"to one that drains", 3, func(r *risks) {
+			r.news(1000, row("b1", "box", spool.Draining, 0))
+			r.sent(1600, &Held{Q: still, Tries: []*Try{{}}}, &look)
+		}},
+		{"within the grace", 0, func(r *risks) {
+			r.news(1000, row("b1", "box", spool.Draining, 0))
+			r.sent(1400, &Held{Q: still, Tries: []*Try{{}}}, &look)
+		}},
+		{"from one that is gone", 3, func(r *risks) {
+			r.news(900, row("p1", "parent", spool.Serving, 0))
+			r.news(1000, spool.Members{Full: true})
+			r.sent(1600, &Held{Q: still, Tries: []*Try{{}}}, &spool.Send{ID: "q", Cache: "b2", Source: "p1", Keep: 1, Age: 1e9})
+		}},
+		{"a cold one", 4, func(r *risks) {
+			r.news(1000, row("b1", "box", spool.Serving, 1000))
+			for i := range 4000 {
+				r.sent(1000+float64(i)/4, &Held{Q: still, Tries: []*Try{{}}}, &look)
+			}
+		}},
+		{"a cold one, a little", 0, func(r *risks) {
+			r.news(1000, row("b1", "box", spool.Serving, 1000))
+			for i := range 10 {
+				r.sent(1000+float64(100*i), &Held{Q: still, Tries: []*Try{{}}}, &look)
+			}
+		}},
+		{"any age after a purge", 5, func(r *risks) {
+			r.news(1000, spool.Purge{Group: 1})
+			r.sent(1500, &Held{Q: still, Tries: []*Try{{}}}, &look)
+		}},
+		{"young enough", 0, func(r *risks) {
+			r.news(1000, spool.Purge{Object: "/s/1/a"})
+			young := look
+			young.Age = 499
+			r.sent(1500, &Held{Q: still, Tries: []*Try{{}}}, &young)
+		}},
+	} {
+		r := newRisks()
+		r.begin(s)
+		k.do(r)
+		for rule := 1; rule < len(r.counts); rule++ {
+			if (r.counts[rule] > 0) != (rule == k.rule) {
+				t.Errorf("%s: rule %d found %d times (%s)", k.name, rule, r.counts[rule], r.first[rule])
+			}
+		}
+	}
+}
+
+// wild is a World that answers anything.
+type wild struct{ t *rapid.T }
+
+func (w wild) News(float64, spool.Event)                                         {}
+func (w wild) Ended(float64, *spool.Request, *spool.Send, *Answer, spool.Result) {}
+func (w wild) Attempt(float64, *spool.Request, int, *spool.Send) Answer {
+	a := Answer{Result: spool.Result(rapid.IntRange(0, int(spool.Miss)).Draw(w.t, "result")), Note: spool.Note(rapid.IntRange(0, int(spool.NoteOriginFailed)).Draw(w.t, "note")),
+		Took: rapid.Float64Range(0, 4000).Draw(w.t, "took"), Never: rapid.IntRange(0, 9).Draw(w.t, "never") == 0}
+	a.Begins = rapid.Float64Range(0, 4000).Draw(w.t, "begins")
+	return a
+}
+
+// Whatever members do, each request ends once, by its deadline unless its answer
+// has begun; and what the module decides keeps the rules that a run shows.
+func TestEachEndsOnce(t *testing.T) {
+	s := read(t, settings)
+	rapid.Check(t, func(t *rapid.T) {
+		c, err := core.New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sim := &Sim{Now: 1000, Explain: true}
+		ends, came := map[string]int{}, 0
+		ri := newRisks()
+		ri.begin(s)
+		sim.Watch.Sent = func(_ *Router, h *Held, a *spool.Send, _ []spool.Look) { ri.sent(sim.Now, h, a) }
+		sim.Watch.Over = func(_ *Router, h *Held) { ends[h.Q.ID]++; ri.over(sim.Now, h) }
+		r := sim.Add("r", c, wild{t})
+		tell := func(n *core.News) {
+			for _, ev := range c.Apply(sim.Now, n).Events {
+				ri.news(sim.Now, ev)
+				sim.Tell(r, ev)
+			}
+		}
+		tell(core.FromSettings(s))
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			sim.RunTo(sim.Now + rapid.Float64Range(0, 400).Draw(t, "pause"))
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				m := rapid.SampledFrom(s.Members[:5]).Draw(t, "member")
+				m.State = rapid.SampledFrom([]string{"serving", "draining", "removed"}).Draw(t, "state")
+				tell(core.FromStep(1, []config.Member{m}, rapid.Bool().Draw(t, "fresh")))
+			case 1:
+				ev := spool.Purge{Group: rapid.IntRange(0, 2).Draw(t, "purged")}
+				ri.news(sim.Now, ev)
+				sim.Tell(r, ev)
+			case 2:
+				sim.Tell(r, spool.Gone{ID: fmt.Sprint("q", rapid.IntRange(0, i).Draw(t, "gone"))})
+			default:
+				class := rapid.SampledFrom([]string{"still", "film", "order"}).Draw(t, "class")
+				sim.Tell(r, spool.Request{ID: fmt.Sprint("q", i), Class: class, Object: fmt.Sprint("/x/", rapid.IntRange(0, 3).Draw(t, "object")),
+					Group: rapid.IntRange(0, 2).Draw(t, "group"), Part: rapid.IntRange(0, 5).Draw(t, "part"), Write: class == "order", KB: 50})
+				came++
+			}
+		}
+		sim.RunTo(sim.Now + 20000)
+		if len(ends) != came || len(r.held) > 0 {
+			t.Fatalf("%d of %d requests ended, %d are held", len(ends), came, len(r.held))
+		}
+		for id, n := range ends {
+			if n != 1 {
+				t.Fatalf("%s ended %d times", id, n)
+			}
+		}
+		for rule, n := range ri.counts {
+			if n > 0 {
+				t.Fatalf("rule %d: %s", rule, ri.first[rule])
+			}
+		}
+	})
+}
