--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -1,4 +1,4 @@
-package main
+package wire
 
 import (
 	"bytes"
@@ -41,7 +41,7 @@
 		{"settings that contradict", batch("1", `{"BORN":{"boot_info":{}}}`), "GIVE_IN", ""},
 	} {
 		var out bytes.Buffer
-		err := serve(strings.NewReader(c.in), &out)
+		err := Serve(strings.NewReader(c.in), &out)
 		if c.err == "" && err != nil || c.err != "" && (err == nil || !strings.Contains(err.Error(), c.err)) {
 			t.Errorf("%s: error %v, want %q", c.name, err, c.err)
 		}
