--- a/cmd/spool-fleet/main.go
+++ b/cmd/spool-fleet/main.go
@@ -2,8 +2,9 @@
 package main
 
 import (
-	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -12,18 +13,21 @@
 	"indigospool/internal/config"
 	"indigospool/internal/control"
 	"indigospool/internal/listcheck"
+	"indigospool/internal/load"
 )
 
 func main() {
 	root := &cobra.Command{Use: "spool-fleet", Short: "Judges lists of members before routers get them"}
 	var o listcheck.Options
 	var against string
-	var asJSON bool
+	var asJSON, rehearse bool
+	var loadFile string
+	var ro listcheck.RehearseOptions
 	check := &cobra.Command{Use: "check LIST", Short: "What a list would do; exit 1 where routers would refuse it", Args: cobra.ExactArgs(1),
 		Long: "Judges a list (a file of settings, or a folder of them) by the checks that routers make and,\n" +
 			"against an old one, tells which objects, parts and fills would go elsewhere, as the module of\n" +
 			"a router in each zone decides when it is asked before and after the change.",
-		Example: "  spool-fleet check new.edn --against old.edn",
+		Example: "  spool-fleet check new.edn --against old.edn\n  spool-fleet check new.edn --against old.edn --rehearse --rate 310",
 		RunE: func(_ *cobra.Command, args []string) error {
 			list, err := read(args[0])
 			if err != nil {
@@ -35,23 +39,32 @@
 					return err
 				}
 			}
+			if rehearse || loadFile != "" {
+				if against == "" {
+					return errors.New("--rehearse plays a change: give the list that routers have now with --against")
+				}
+				ro.Seed, ro.KB = o.Seed, o.KB
+				if loadFile != "" {
+					ro.Load = &load.Script{}
+					if err := config.ReadFile(loadFile, ro.Load); err != nil {
+						return &cli.FoundError{Err: err}
+					}
+				}
+				o.Rehearse = &ro
+			}
 			r, err := listcheck.Check(list, old, o)
 			if err != nil {
 				return err
 			}
-			if asJSON {
-				enc := json.NewEncoder(os.Stdout)
-				enc.SetIndent("", " ")
-				if err := enc.Encode(r); err != nil {
-					return err
-				}
-			} else {
-				r.Text(os.Stdout)
+			if err := cli.Tell(asJSON, r, func(w io.Writer) {
+				r.Text(w)
 				if len(r.Reasons) == 0 {
-					fmt.Printf("%s: passes the checks\n", args[0])
+					fmt.Fprintf(w, "%s: passes the checks\n", args[0])
 				}
+			}); err != nil {
+				return err
 			}
-			if len(r.Reasons) > 0 {
+			if len(r.Reasons) > 0 || r.Rehearsal != nil && !r.Rehearsal.OK() {
 				return cli.ErrFound
 			}
 			return nil
@@ -62,6 +75,13 @@
 	f.Float64Var(&o.Parts, "parts", 8, "mean parts of an object of a class in parts")
 	f.Float64Var(&o.KB, "kb", 100, "size of an object or part whose route states none")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of what is asked for")
+	f.BoolVar(&rehearse, "rehearse", false, "play the change under load, by all routers in simulated time; exit 1 where it pushes a member or a link over")
+	f.StringVar(&loadFile, "load", "", "of --rehearse: a load (as of spool-load), instead of one made from the routes")
+	f.Float64Var(&ro.Rate, "rate", 0, "of --rehearse: requests a second of all routers (default: the load's, or 5 a router)")
+	f.Float64Var(&ro.Before, "before", 60000, "of --rehearse: ms before the change")
+	f.Float64Var(&ro.After, "after", 60000, "of --rehearse: ms after it")
+	f.Float64Var(&ro.Lag, "lag", 1000, "of --rehearse: ms within which all routers hear of it")
+	f.Float64Var(&ro.Capacity, "capacity", 50, "of --rehearse: transfers at once that a member bears, where sizes are no capacities")
 	f.BoolVar(&asJSON, "json", false, "print it as JSON")
 	root.AddCommand(check)
 	cli.Main(root)
--- a/internal/listcheck/listcheck.go
+++ b/internal/listcheck/listcheck.go
@@ -27,6 +27,8 @@
 	KB      float64 // of an object or part whose route states no size; default 100
 	Seed    uint64
 	Limits  fleet.CheckLimits
+
+	Rehearse *RehearseOptions // play the change under load too; nil: don't
 }
 
 func (o Options) filled() Options {
@@ -69,6 +71,8 @@
 	Reasons []string `json:"reasons,omitempty"` // against it: routers would refuse it
 	Steps   []string `json:"steps,omitempty"`   // in which it would be told
 	Zones   []Zone   `json:"zones,omitempty"`
+
+	Rehearsal *Rehearsal `json:"rehearsal,omitempty"`
 }
 
 // Check judges a list, and against an old one what it would do. old may be empty.
@@ -111,6 +115,12 @@
 		}
 		rep.Zones = append(rep.Zones, *one)
 	}
+	if o.Rehearse != nil {
+		var err error
+		if rep.Rehearsal, err = Rehearse(string(before), string(after), *o.Rehearse); err != nil {
+			return nil, err
+		}
+	}
 	return rep, nil
 }
 
@@ -265,4 +275,7 @@
 		}
 		t.Flush()
 	}
+	if r.Rehearsal != nil {
+		r.Rehearsal.Text(w)
+	}
 }
--- a/internal/whatif/boxes.go
+++ b/internal/whatif/boxes.go
@@ -1,6 +1,7 @@
 package whatif
 
 import (
+	"math"
 	"strconv"
 
 	spool "indigospool"
@@ -84,7 +85,7 @@
 	case spool.Members:
 		for _, r := range ev.Rows {
 			m := w.m[r.ID]
-			if m != nil && (m.listed.ReadyAt == r.ReadyAt || r.ReadyAt <= 0 || r.State != spool.Serving) {
+			if m != nil && (math.Abs(m.listed.ReadyAt-r.ReadyAt) < 1 || r.ReadyAt <= 0 || r.State != spool.Serving) { // each router works out its own
 				m.listed.State = r.State
 				continue
 			}
@@ -151,7 +152,7 @@
 	case src.role == "origin":
 		note = spool.NoteFilledByOrigin
 	}
-	if w.load(now, src, kb/w.o.FillFlow, kb, true) {
+	if w.load(now, src, kb/w.o.Flow, kb, true) {
 		return Answer{Result: spool.Full, Note: spool.NoteSourceUnreached, Took: w.o.Look}
 	}
 	m.busy++
--- a/internal/whatif/whatif_test.go
+++ b/internal/whatif/whatif_test.go
@@ -339,3 +339,44 @@
 		}
 	})
 }
+
+// A cold parent that is given far more than it bears falls over, and answers nothing
+// from then on; a warm one only gets slower.
+func TestBoxesFall(t *testing.T) {
+	s := read(t, settings)
+	w := NewBoxes(options(s))
+	var seconds float64
+	w.Second = func(id string, _ int, sp *Spent) {
+		if id == "p1" {
+			seconds += sp.Work
+		}
+	}
+	w.News(1000, spool.Members{Rows: []spool.Member{{ID: "b1", Zone: "z", Kind: "box", Size: 10}, {ID: "p1", Kind: "parent", Size: 1, ReadyAt: 1000}, {ID: "p2", Kind: "parent", Size: 1}}})
+	take := func(now float64, i int, source string) Answer {
+		q := &spool.Request{ID: "q", Object: fmt.Sprint("/s/", i), KB: 1000}
+		a := w.Attempt(now, q, 0, &spool.Send{Cache: "b1", Source: source, Keep: 1, Age: 1e9})
+		if i%2 == 0 {
+			w.Ended(now, q, &spool.Send{Cache: "b1", Source: source, Keep: 1, Age: 1e9}, &a, a.Result)
+		}
+		return a
+	}
+	fell := 0
+	for i := range 40 {
+		if a := take(1000+float64(i)*50, i, "p1"); a.Result != spool.OK {
+			fell++
+		} else if fell > 0 {
+			t.Fatal("it answers again")
+		}
+		if a := take(1000+float64(i)*50, 100+i, "p2"); a.Result != spool.OK {
+			t.Fatal("a warm one fell")
+		}
+	}
+	if w.Finish(5000); fell == 0 || fell > 38 || w.Fell("p1") == 0 || w.Fell("p2") > 0 || seconds < 300 {
+		t.Errorf("%d refused, fell at %v and %v, %v ms of sending", fell, w.Fell("p1"), w.Fell("p2"), seconds)
+	}
+	if a := take(9000, 100, "p2"); a.Note != spool.NoteHit { // it was filled before
+		if a = take(9000, 102, "p2"); a.Note != spool.NoteHit {
+			t.Errorf("nothing was kept: %+v", a)
+		}
+	}
+}
