internal/limits: who is cut, whose turn it is, how many are in hand, who goes first

What a router does under load that the module can't see had no place of its own. The package decides it without I/O, clock or chance: a least rate as a bucket of the peer's own time, a jury that spares members when most are slow at once, deficit round robin over classes, a limit on requests in hand that adapts to the least wait of an interval (CoDel's measure, AIMD's steps), budgets for repeats, jitter for Retry-After, and a memory budget with an order of shedding.

--- /dev/null
+++ b/internal/limits/admission.go
@@ -0,0 +1,76 @@
+package limits
+
+// AdmissionSettings are how many requests may be in hand. Spans are in ms.
+type AdmissionSettings struct {
+	Target   float64 // bytes may wait for the router so long
+	Interval float64 // over which the least wait counts
+	Least    int     // requests in hand that are always allowed
+	Most     int     // and that never are more
+	Headroom float64 // part of the limit that only the worthiest requests may use
+}
+
+// Admission is a limit on the requests in hand that adapts to how long the router
+// itself keeps ready bytes waiting. As in CoDel (RFC 8289) it is the least wait over
+// an interval that counts: a burst is no overload, a queue that never empties is.
+// While it is above the target the limit falls by a tenth an interval, towards what is
+// in hand; else, where the limit is in use, it grows by a tenth of its root an
+// interval and more.
+type Admission struct {
+	s     AdmissionSettings
+	limit float64
+	least float64 // wait in the present interval; below 0: none was seen
+	most  int     // in hand in the present interval
+	ends  float64
+	over  bool
+	Waits float64 // the least wait of the last interval
+}
+
+// NewAdmission begins without a limit below Most.
+func NewAdmission(s AdmissionSettings) *Admission {
+	s.Least = max(min(s.Least, s.Most), 1)
+	return &Admission{s: s, limit: float64(s.Most), least: -1}
+}
+
+// Waited says that ready bytes had to wait for the router.
+func (a *Admission) Waited(ms float64) {
+	if a.least < 0 || ms < a.least {
+		a.least = ms
+	}
+}
+
+// Turn says how many requests are in hand; it is to be called at least once an
+// interval.
+func (a *Admission) Turn(now float64, inHand int) {
+	a.most = max(a.most, inHand)
+	if now < a.ends {
+		return
+	}
+	if a.ends > 0 {
+		a.Waits = max(a.least, 0)
+		a.over = a.least > a.s.Target
+		switch used := float64(a.most); {
+		case a.over:
+			a.limit = max(min(a.limit, used)*0.9, float64(a.s.Least))
+		case used >= 0.8*a.limit:
+			a.limit = min(a.limit*1.05+1, float64(a.s.Most))
+		}
+	}
+	a.ends, a.least, a.most = now+a.s.Interval, -1, inHand
+}
+
+// Over reports whether the router was found overloaded in the last interval.
+func (a *Admission) Over() bool { return a.over }
+
+// Limit is how many requests may be in hand.
+func (a *Admission) Limit() int { return int(a.limit) }
+
+// Admit reports whether one more request may come in hand. rank is its worth among
+// those of all classes, 0 the least and 1 the most: the limit of the least is lower by
+// the headroom.
+func (a *Admission) Admit(inHand int, rank float64) bool {
+	limit := a.limit
+	if limit < float64(a.s.Most) {
+		limit *= 1 - a.s.Headroom*(1-min(max(rank, 0), 1))
+	}
+	return float64(inHand) < max(limit, float64(a.s.Least))
+}
--- /dev/null
+++ b/internal/limits/flow.go
@@ -0,0 +1,121 @@
+package limits
+
+import "math"
+
+// Least is the least rate at which a peer has to move bytes while it is the one that
+// is waited for. A zero Rate asks for none.
+type Least struct {
+	Rate  float64 // bytes a ms
+	Grace float64 // ms of its own delay that a peer may run up beyond what its bytes pay for
+	Step  float64 // most that is charged between two looks: a longer gap is the router's own
+}
+
+// Flow is one direction of one connection, as a bucket of time: each ms in which the
+// peer is waited for costs one, each byte pays for the time that it may take at the
+// least rate, and Grace is the most that can be saved. A peer that moves the least
+// rate over each span of Grace is never found slow, however it spreads its bytes; one
+// below it is, at the latest when Grace and what it paid for are used up. While
+// somebody else holds things up nothing is charged. The zero Flow is new.
+type Flow struct {
+	owed    float64 // ms that are used up of the grace
+	last    float64
+	waiting bool
+}
+
+// Wait says that from now on the peer is waited for.
+func (f *Flow) Wait(now float64) {
+	if !f.waiting {
+		f.waiting, f.last = true, now
+	}
+}
+
+// Rest says that from now on it is not: the other side, or the router, holds things up.
+func (f *Flow) Rest(now float64, l *Least) {
+	f.charge(now, l)
+	f.waiting = false
+}
+
+// Waiting reports whether the peer is waited for.
+func (f *Flow) Waiting() bool { return f.waiting }
+
+// Moved says that the peer took, or sent, so many bytes.
+func (f *Flow) Moved(now float64, n int, l *Least) {
+	f.charge(now, l)
+	if l.Rate > 0 {
+		f.owed = max(f.owed-float64(n)/l.Rate, 0)
+	}
+}
+
+// Slow reports whether the peer has run up more than its grace. It is to be asked at
+// least every Step while the peer is waited for.
+func (f *Flow) Slow(now float64, l *Least) bool {
+	f.charge(now, l)
+	return l.Rate > 0 && f.owed > l.Grace
+}
+
+// Due is in how many ms the peer will be slow if nothing moves.
+func (f *Flow) Due(l *Least) float64 {
+	if !f.waiting || l.Rate <= 0 {
+		return math.Inf(1)
+	}
+	return max(l.Grace-f.owed, 0)
+}
+
+func (f *Flow) charge(now float64, l *Least) {
+	if f.waiting && now > f.last {
+		spent := now - f.last
+		if l.Step > 0 {
+			spent = min(spent, l.Step)
+		}
+		f.owed += spent
+	}
+	f.last = max(f.last, now)
+}
+
+// Jury keeps a judgement on members from being the router's own fault: where most of
+// those that are at work are found slow within a short while, the cause is nearer to
+// the router than to them, and none is cut.
+type Jury struct {
+	Span  float64 // ms over which members are counted
+	Share float64 // of those at work: from there on judgement is suspect
+	Least int     // members at work below which one may always be cut
+
+	good, slow map[string]float64 // when last seen so
+	Spared     uint64             // cuts that were not made
+}
+
+// Good says that a member moved bytes at the least rate or more.
+func (j *Jury) Good(member string, now float64) { j.note(&j.good, member, now) }
+
+// Cut reports whether a member that was found slow may be cut.
+func (j *Jury) Cut(member string, now float64) bool {
+	j.note(&j.slow, member, now)
+	slow, working := 0, 0
+	for id, at := range j.slow {
+		if now-at > j.Span {
+			delete(j.slow, id)
+			continue
+		}
+		slow++
+		working++
+	}
+	for id, at := range j.good {
+		if now-at > j.Span {
+			delete(j.good, id)
+		} else if _, both := j.slow[id]; !both {
+			working++
+		}
+	}
+	if working >= j.Least && float64(slow) > j.Share*float64(working) {
+		j.Spared++
+		return false
+	}
+	return true
+}
+
+func (j *Jury) note(m *map[string]float64, member string, now float64) {
+	if *m == nil {
+		*m = map[string]float64{}
+	}
+	(*m)[member] = now
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,48 @@
+// Package limits decides what a router does under load that the decision module
+// can't see: sockets, bytes and its own loop's time. Which peer is cut off for being
+// slow (flow.go), whose turn it is to move bytes (drr.go), how many requests may be in
+// hand (admission.go), which repeats are turned away and when clients may come again
+// (retries.go), and who goes first when memory runs out (memory.go).
+//
+// It does no I/O and has no clock: times come from the caller, in milliseconds, and
+// chance from a seed. It never chooses a cache, a source or a retry of an attempt:
+// those are the module's. internal/edge carries out what it decides;
+// docs/limits.md weighs the options.
+package limits
+
+// Cause says why something was cut, refused or shed. The words stand in logs and
+// counters.
+type Cause uint8
+
+// The causes.
+const (
+	None        Cause = iota
+	SlowHead          // a request's head came too slowly
+	SlowBody          // a request's body did
+	SlowReader        // a client took its answer too slowly
+	SlowMember        // a member sent its answer too slowly
+	Overload          // as many requests in hand as the router bears now
+	Repeats           // too many repeats, of this client or of all
+	Memory            // the memory budget's edge
+	PerAddress        // as many connections of one client address as may be
+	Descriptors       // as many connections as there are descriptors for
+	causes
+)
+
+var words = [causes]string{"none", "slow-head", "slow-body", "slow-reader", "slow-member", "overload", "repeats", "memory", "per-address", "descriptors"}
+
+func (c Cause) String() string { return words[c] }
+
+// Counts counts by cause.
+type Counts [causes]uint64
+
+// Map is the counts that are not zero, by their words.
+func (c *Counts) Map() map[string]uint64 {
+	out := map[string]uint64{}
+	for i, n := range c {
+		if n > 0 {
+			out[words[i]] = n
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,402 @@
+package limits
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var least = Least{Rate: 8, Grace: 4000, Step: 500}
+
+// A peer that moves the least rate over each span is never cut, whatever the other
+// side and the router do meanwhile, and however it spreads its bytes within the span.
+func TestHealthyIsNeverSlow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var f Flow
+		now, debt := 0.0, 0.0 // ms of its own delay since its bytes last paid for it
+		f.Wait(now)
+		waited := true
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0: // the other side, or the router, holds things up for as long as it likes
+				f.Rest(now, &least)
+				now += rapid.Float64Range(0, 60000).Draw(t, "other")
+				waited = false
+			case 1: // the router does not look for a while: charged is a step at most
+				if waited {
+					debt += least.Step
+				}
+				now += rapid.Float64Range(least.Step, 20000).Draw(t, "stall")
+			default:
+				if !waited {
+					f.Wait(now)
+					waited = true
+				}
+				d := rapid.Float64Range(0, least.Step).Draw(t, "peer")
+				now += d
+				debt += d
+			}
+			if debt > least.Grace-least.Step-1 { // it keeps the rate: it moves what it owes for
+				n := int(math.Ceil(debt * least.Rate))
+				f.Moved(now, n, &least)
+				debt = 0
+			}
+			if f.Slow(now, &least) {
+				t.Fatalf("cut at %v with %v ms of its own", now, debt)
+			}
+		}
+	})
+}
+
+// A peer that keeps below the rate is found slow, and not before its grace is used up;
+// one byte a second is no way out.
+func TestTricklerIsSlow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 0.8).Draw(t, "share") * least.Rate
+		gap := rapid.Float64Range(1, 1500).Draw(t, "gap")
+		var f Flow
+		f.Wait(0)
+		next, part := gap, 0.0
+		for now := 0.0; now < 60000; now += 250 {
+			for next <= now {
+				part += rate * gap
+				f.Moved(next, int(part), &least)
+				part -= math.Floor(part)
+				next += gap
+			}
+			if f.Slow(now, &least) {
+				if now < least.Grace {
+					t.Fatalf("slow at %v, within its grace", now)
+				}
+				return
+			}
+		}
+		t.Fatalf("%v bytes a ms every %v ms was never found slow", rate, gap)
+	})
+}
+
+// Reading in bursts at just the least rate is allowed.
+func TestBurstsAtTheRate(t *testing.T) {
+	var f Flow
+	f.Wait(0)
+	for now := 250.0; now < 600000; now += 250 {
+		if math.Mod(now, 3500) == 0 {
+			f.Moved(now, int(3500*least.Rate), &least)
+		}
+		if f.Slow(now, &least) {
+			t.Fatalf("slow at %v", now)
+		}
+	}
+	if d := f.Due(&least); d <= 0 || d > least.Grace {
+		t.Error(d)
+	}
+	if f = (Flow{}); f.Slow(1e9, &least) || !math.IsInf(f.Due(&least), 1) || f.Slow(1e9, &Least{}) {
+		t.Error("a flow that nobody waits for is slow")
+	}
+}
+
+// One slow member is cut; where most are slow at once none is, and once the others are
+// well again the one is.
+func TestJury(t *testing.T) {
+	j := Jury{Span: 5000, Share: 0.5, Least: 3}
+	for _, m := range []string{"a", "b", "c", "d"} {
+		j.Good(m, 1000)
+	}
+	if !j.Cut("a", 1200) || !j.Cut("b", 1300) {
+		t.Error("two of four were not cut")
+	}
+	if j.Cut("c", 1400) || j.Cut("d", 1500) || j.Spared != 2 {
+		t.Errorf("three of four were cut (%d spared)", j.Spared)
+	}
+	j.Good("a", 9000)
+	j.Good("b", 9000)
+	if !j.Cut("c", 9100) {
+		t.Error("one of three, once the others are well, was not cut")
+	}
+	one := Jury{Span: 5000, Share: 0.5, Least: 3}
+	if !one.Cut("a", 1) || !one.Cut("a", 2) {
+		t.Error("the only member at work was not cut")
+	}
+}
+
+// Bytes are shared by weight among classes that have any to move, and evenly within a
+// class; nobody is passed over, and a class that comes back has saved nothing up.
+func TestDRR(t *testing.T) {
+	const quantum = 1000
+	d := NewDRR[int](quantum, []float64{4, 1})
+	got := map[int]int{}
+	class := func(i int) int { return i / 100 }
+	for _, i := range []int{0, 1, 100, 101, 102} {
+		d.Push(class(i), i)
+	}
+	total := 0
+	for total < 1_000_000 {
+		it, c, room, ok := d.Next()
+		if !ok || room < 1 || room > quantum || c != class(it) {
+			t.Fatal(it, c, room, ok)
+		}
+		got[it] += room
+		total += room
+		d.Used(c, it, room, true)
+	}
+	near := func(a, b int) bool { return math.Abs(float64(a-b)) <= 0.02*float64(b)+2*quantum }
+	if !near(got[0]+got[1], 800_000) || !near(got[0], got[1]) || !near(got[100], got[101]) || !near(got[101], got[102]) {
+		t.Errorf("%v", got)
+	}
+}
+
+// Whatever comes and goes: each ready connection is served in its turn, at most a
+// round of the others' quanta later, and none is served that is not ready.
+func TestDRRServesAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.Float64Range(0.1, 8), 1, 4).Draw(t, "weights")
+		d := NewDRR[int](4096, weights)
+		ready, class, waits := map[int]bool{}, map[int]int{}, map[int]int{}
+		sum := 0.0
+		for _, w := range weights {
+			sum += w + 1
+		}
+		for i := range rapid.IntRange(1, 300).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "push") {
+				class[i] = rapid.IntRange(0, len(weights)-1).Draw(t, "class")
+				ready[i] = true
+				d.Push(class[i], i)
+				continue
+			}
+			it, c, room, ok := d.Next()
+			if ok != (len(ready) > 0) || ok && (!ready[it] || c != class[it] || room < 1) {
+				t.Fatal(it, c, room, ok, ready)
+			}
+			if !ok {
+				continue
+			}
+			n := rapid.IntRange(0, room).Draw(t, "moved")
+			more := rapid.Bool().Draw(t, "more")
+			d.Used(c, it, n, more)
+			if delete(waits, it); !more {
+				delete(ready, it)
+			}
+			for other := range ready {
+				waits[other]++
+				if float64(waits[other]) > 20*sum*float64(len(class)+1) {
+					t.Fatalf("%d waits for ever", other)
+				}
+			}
+		}
+		if d.Len() != len(ready) {
+			t.Fatalf("%d are ready, %d are booked", len(ready), d.Len())
+		}
+	})
+}
+
+// A small answer behind any number of large ones of another class waits for a
+// quantum of each class, and not for theirs.
+func TestStillBehindFootage(t *testing.T) {
+	d := NewDRR[int](64<<10, []float64{1, 1})
+	for i := range 1000 {
+		d.Push(1, i)
+	}
+	moved := 0
+	for range 50 {
+		it, c, room, _ := d.Next()
+		moved += room
+		d.Used(c, it, room, true)
+	}
+	d.Push(0, -1)
+	before := moved
+	for {
+		it, c, room, ok := d.Next()
+		if !ok {
+			t.Fatal("nobody is ready")
+		}
+		if it == -1 {
+			break
+		}
+		moved += room
+		d.Used(c, it, room, true)
+	}
+	if moved-before > 2*64<<10 {
+		t.Errorf("the still waited for %d bytes", moved-before)
+	}
+}
+
+// A queue in simulated time that gets up to four times what it can do: the limit finds
+// a place at which the wait stays short and the server is busy, and comes back after.
+func TestAdmissionFinds(t *testing.T) {
+	for _, load := range []float64{0.5, 0.9, 1.5, 2, 4} {
+		a := NewAdmission(AdmissionSettings{Target: 5, Interval: 100, Least: 8, Most: 20000, Headroom: 0.2})
+		rng := rand.New(rand.NewPCG(1, uint64(load*10)))
+		const per = 0.1 // ms of work a request; 10 a ms is what the server can do
+		now, busy, hold := 0.0, 0.0, 20.0
+		var ends []float64 // of those in hand
+		served, refused, waits := 0, 0, []float64{}
+		for now < 60000 {
+			now += rng.ExpFloat64() * per / load
+			for len(ends) > 0 && ends[0] <= now {
+				ends = ends[1:]
+			}
+			a.Turn(now, len(ends))
+			if !a.Admit(len(ends), 1) {
+				refused++
+				busy = max(busy, now) + per*0.02 // a refusal is cheap, and not free
+				continue
+			}
+			wait := max(busy-now, 0)
+			busy = max(busy, now) + per
+			a.Waited(wait)
+			ends = append(ends, busy+hold)
+			if now > 20000 {
+				served++
+				waits = append(waits, wait)
+			}
+		}
+		sum := 0.0
+		for _, w := range waits {
+			sum += w
+		}
+		share := float64(served) * per / 40000
+		if load > 1 && (share < 0.85 || sum/float64(len(waits)) > 60) || load < 1 && refused > 0 {
+			t.Errorf("load %v: %.2f of the time at work, %.1f ms of wait, %d refused, limit %d", load, share, sum/float64(len(waits)), refused, a.Limit())
+		}
+		for range 200 { // calm again
+			now += 100
+			a.Waited(0)
+			a.Turn(now, a.Limit())
+		}
+		if a.Limit() < 20000 || a.Over() {
+			t.Errorf("load %v: the limit stays at %d", load, a.Limit())
+		}
+	}
+}
+
+// The worthiest are taken when the least are not; the least number is always allowed.
+func TestAdmissionRanks(t *testing.T) {
+	a := NewAdmission(AdmissionSettings{Target: 5, Interval: 100, Least: 10, Most: 1000, Headroom: 0.3})
+	if !a.Admit(999, 0) || a.Admit(1000, 1) {
+		t.Error("without overload the limit is not the most")
+	}
+	for now := 0.0; now < 3000; now += 100 {
+		a.Waited(50)
+		a.Turn(now, 200)
+	}
+	limit := a.Limit()
+	if limit > 200 || limit < 10 || !a.Admit(limit*8/10, 1) || limit > 20 && a.Admit(limit*8/10, 0) {
+		t.Errorf("limit %d", limit)
+	}
+	if !a.Admit(9, 0) {
+		t.Error("below the least number one was turned away")
+	}
+}
+
+// Repeats are a share of first tries once an overload lasts; one address can't take
+// the others' share, and is bounded in calm times too.
+func TestRetries(t *testing.T) {
+	r := NewRetries(RetrySettings{Share: 0.25, Burst: 20, AddressShare: 0.5, AddressBurst: 10, Addresses: 100})
+	went := 0
+	for i := range 1000 {
+		r.Ask(fmt.Sprint(i%50), false, true)
+		for range 3 {
+			if r.Ask(fmt.Sprint(i%50), true, true) {
+				went++
+			}
+		}
+	}
+	if went < 250 || went > 250+20 {
+		t.Errorf("%d repeats of 1000 first tries", went)
+	}
+	went = 0
+	for range 1000 {
+		if r.Ask("greedy", true, false) {
+			went++
+		}
+	}
+	if went != 10 {
+		t.Errorf("one address made %d repeats at once", went)
+	}
+	for i := range 100000 { // addresses that come once are forgotten
+		r.Ask(fmt.Sprint("a", i), false, false)
+	}
+	if len(r.now)+len(r.before) > 200 {
+		t.Errorf("%d addresses are remembered", len(r.now)+len(r.before))
+	}
+}
+
+func TestJitter(t *testing.T) {
+	a, b := NewJitter(7, 0.5), NewJitter(7, 0.5)
+	seen := map[int64]int{}
+	for range 1000 {
+		x, y := a.After(4000), b.After(4000)
+		if x != y || x < 4 || x > 6 {
+			t.Fatal(x, y)
+		}
+		seen[x]++
+	}
+	if len(seen) < 2 || a.After(0) != 0 || a.After(1) < 1 {
+		t.Error(seen)
+	}
+}
+
+// Idle connections go before requests, answers that have begun go last, the least
+// worth for its bytes first, and what may do harm when it is repeated never.
+func TestShed(t *testing.T) {
+	b := Budget{Total: 1000}
+	b.Add(Answers, 899)
+	if idle, reqs := b.Excess(); idle+reqs != 0 || b.Full() {
+		t.Error(idle, reqs)
+	}
+	b.Add(Heads, 20)
+	if idle, reqs := b.Excess(); idle != 119 || reqs != 0 || !b.Full() {
+		t.Error(idle, reqs)
+	}
+	b.Add(Bodies, 50)
+	if idle, reqs := b.Excess(); idle != 169 || reqs != 169 || b.Used() != 969 || b.Map()["answers"] != 899 {
+		t.Error(idle, reqs)
+	}
+	list := []Holder{
+		{Index: 0, Bytes: 100, Worth: 1, Left: 10, Begun: true, Repeat: true},
+		{Index: 1, Bytes: 100, Worth: 1, Left: 10, Repeat: true},
+		{Index: 2, Bytes: 100, Worth: 1, Left: 1000, Repeat: true},
+		{Index: 3, Bytes: 100, Worth: 0.1, Left: 10, Repeat: true},
+		{Index: 4, Bytes: 100, Worth: 0, Left: 1e9},
+		{Index: 5, Bytes: 0, Worth: 0, Left: 1e9, Repeat: true},
+	}
+	want := []int{2, 3, 1, 0}
+	for i, h := range Order(append([]Holder(nil), list...)) {
+		if h.Index != want[i] {
+			t.Errorf("place %d is of %d, not %d", i, h.Index, want[i])
+		}
+	}
+	if got := Shed(append([]Holder(nil), list...), 150); len(got) != 2 {
+		t.Errorf("%+v", got)
+	}
+	if got := Shed(append([]Holder(nil), list...), 1e6); len(got) != 4 {
+		t.Errorf("%+v", got)
+	}
+}
+
+func BenchmarkDRR(b *testing.B) {
+	d := NewDRR[int](64<<10, []float64{2, 1, 1})
+	for i := range 3000 {
+		d.Push(i%3, i)
+	}
+	for b.Loop() {
+		it, c, room, _ := d.Next()
+		d.Used(c, it, room, true)
+	}
+}
+
+func BenchmarkFlow(b *testing.B) {
+	var f Flow
+	now := 0.0
+	for b.Loop() {
+		now += 0.1
+		f.Wait(now)
+		f.Moved(now, 100, &least)
+		if f.Slow(now, &least) {
+			b.Fatal()
+		}
+	}
+}
--- /dev/null
+++ b/internal/limits/memory.go
@@ -0,0 +1,109 @@
+package limits
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Kind is what memory is held for.
+type Kind uint8
+
+// The kinds.
+const (
+	Connections Kind = iota // descriptions of clients' and members' connections
+	Heads                   // read, and not yet taken
+	Answers                 // answered, and not yet written
+	Requests                // requests in hand
+	Bodies                  // bodies of writes
+	kinds
+)
+
+var kindWords = [kinds]string{"connections", "heads", "answers", "requests", "bodies"}
+
+// Budget is the memory that a process accounts for. A Total of 0 is no limit.
+type Budget struct {
+	Total int64
+	used  [kinds]int64
+	sum   int64
+	Most  int64 // that was ever used
+}
+
+// Add books bytes; a negative number gives them back.
+func (b *Budget) Add(k Kind, n int64) {
+	b.used[k] += n
+	b.sum += n
+	b.Most = max(b.Most, b.sum)
+}
+
+// Used is what is booked.
+func (b *Budget) Used() int64 { return b.sum }
+
+// Map is what is booked, by kind.
+func (b *Budget) Map() map[string]int64 {
+	out := map[string]int64{}
+	for i, n := range b.used {
+		out[kindWords[i]] = n
+	}
+	return out
+}
+
+// Levels of pressure.
+const (
+	shedAt   = 0.90 // from here idle connections go, and nothing new is taken into hand
+	shedTo   = 0.80 // down to here
+	refuseAt = 0.95 // from here requests in hand go too
+)
+
+// Full reports that nothing new may be taken into hand.
+func (b *Budget) Full() bool { return b.Total > 0 && float64(b.sum) >= shedAt*float64(b.Total) }
+
+// Excess is how many bytes have to be given back: of idle connections, and of requests.
+func (b *Budget) Excess() (idle, requests int64) {
+	if !b.Full() {
+		return 0, 0
+	}
+	idle = b.sum - int64(shedTo*float64(b.Total))
+	if float64(b.sum) >= refuseAt*float64(b.Total) {
+		requests = idle
+	}
+	return idle, requests
+}
+
+// Holder is a request that holds memory.
+type Holder struct {
+	Index  int     // the caller's
+	Bytes  int64   // that are free again once it is shed
+	Worth  float64 // of its answer now: less once it is late
+	Left   float64 // bytes that are still to move, or a guess
+	Begun  bool    // its client has part of the answer: it can only be cut
+	Repeat bool    // whether a repeat is surely harmless; others are not shed
+}
+
+// Order sorts holders by who is shed first: those whose answer has not begun before
+// those that have, and among them the least worth for the bytes still to move. Those
+// whose repeat may do harm are left out.
+func Order(list []Holder) []Holder {
+	list = slices.DeleteFunc(list, func(h Holder) bool { return !h.Repeat || h.Bytes <= 0 })
+	slices.SortStableFunc(list, func(a, b Holder) int {
+		if a.Begun != b.Begun {
+			if a.Begun {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.Worth/(a.Left+1), b.Worth/(b.Left+1))
+	})
+	return list
+}
+
+// Shed is the first holders of the order that together give back so many bytes.
+func Shed(list []Holder, need int64) []Holder {
+	list = Order(list)
+	for i := range list {
+		if need <= 0 {
+			return list[:i]
+		}
+		need -= list[i].Bytes
+	}
+	return list
+}
--- /dev/null
+++ b/internal/limits/retries.go
@@ -0,0 +1,78 @@
+package limits
+
+import "math/rand/v2"
+
+// RetrySettings bound the repeats that clients make. A budget gains Share with each
+// first try, up to Burst, and each repeat costs one.
+type RetrySettings struct {
+	Share, Burst               float64 // of all clients
+	AddressShare, AddressBurst float64 // of one client address
+	Addresses                  int     // that are remembered, in each of two generations
+}
+
+// Retries keeps clients' repeats from amplifying an overload. All clients' budget
+// counts only while the router is overloaded; that of one address counts always.
+type Retries struct {
+	s      RetrySettings
+	all    float64
+	now    map[string]*float64 // budgets by address
+	before map[string]*float64
+}
+
+// NewRetries begins with full budgets.
+func NewRetries(s RetrySettings) *Retries {
+	return &Retries{s: s, all: s.Burst, now: map[string]*float64{}}
+}
+
+// Ask reports whether a request may go on.
+func (r *Retries) Ask(address string, repeat, overloaded bool) bool {
+	b := r.budget(address)
+	if !repeat {
+		r.all = min(r.all+r.s.Share, r.s.Burst)
+		*b = min(*b+r.s.AddressShare, r.s.AddressBurst)
+		return true
+	}
+	if *b < 1 || overloaded && r.all < 1 {
+		return false
+	}
+	*b--
+	r.all = max(r.all-1, 0)
+	return true
+}
+
+func (r *Retries) budget(address string) *float64 {
+	if b := r.now[address]; b != nil {
+		return b
+	}
+	if len(r.now) >= max(r.s.Addresses, 1) {
+		r.before, r.now = r.now, map[string]*float64{}
+	}
+	b := r.before[address]
+	if b == nil {
+		full := r.s.AddressBurst
+		b = &full
+	}
+	r.now[address] = b
+	return b
+}
+
+// Jitter spreads when clients come again, so that those who were turned away together
+// don't return together.
+type Jitter struct {
+	rng  *rand.Rand
+	Part float64 // of the wait that is added at most
+}
+
+// NewJitter draws from a seed.
+func NewJitter(seed uint64, part float64) *Jitter {
+	return &Jitter{rng: rand.New(rand.NewPCG(seed, 0x1177e4)), Part: part}
+}
+
+// After is when a client may come again, in whole seconds: from the wait in ms on, up
+// to Part of it, or one second, later. 0 stays 0.
+func (j *Jitter) After(ms float64) int64 {
+	if ms <= 0 {
+		return 0
+	}
+	return int64((ms + 999 + j.rng.Float64()*max(ms*j.Part, 1000)) / 1000)
+}
