The edge carries limits out: least rates, turns, admission, memory, descriptors

Peers were held to fixed time-outs only, one connection could move 256 KB a readiness before all others, and an overload had no end but the module's. The edge now tells internal/limits what sockets do and does what it says: clients and members below a least rate while they are waited for are cut (408 where a request was coming), bodies move by deficit round robin with a bound a turn, requests in hand adapt to the loop's own wait, repeats have budgets, Retry-After is spread, buffers, requests and connections are booked against (memory-mb) and shed in a stated order, connections are bounded by address and by descriptors (idle ones go first), and EMFILE, ENOBUFS and ENOMEM are the router's own and no member's fault.

--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -50,22 +50,37 @@
 type Limits struct {
 	Place          Place
 	Connections    int     `edn:"connections" def:"20000" min:"1"`
-	Held           int     `edn:"held" def:"20000" min:"1"`           // requests in hand
-	Pipelined      int     `edn:"pipelined" def:"16384" min:"1024"`   // bytes read ahead of a connection's present request
-	Head           int     `edn:"head" def:"32768" min:"1024"`        // bytes of a head
-	Line           int     `edn:"line" def:"8192" min:"256"`          // bytes of a request line
-	Fields         int     `edn:"fields" def:"100" min:"8"`           // field lines
-	Body           int     `edn:"body" def:"1048576" min:"0"`         // bytes of a request's body
-	Buffer         int     `edn:"buffer" def:"262144" min:"4096"`     // bytes that wait for a slow client
-	HeadTime       float64 `edn:"head-time" def:"10000" min:"1"`      // for a whole request to come
-	ClientIdle     float64 `edn:"client-idle" def:"60000" min:"1"`    // between requests
-	WriteIdle      float64 `edn:"write-idle" def:"20000" min:"1"`     // a client that takes nothing
-	Connect        float64 `edn:"connect" def:"500" min:"1"`          // to a member
-	BodyIdle       float64 `edn:"body-idle" def:"5000" min:"1"`       // a member that has begun to answer and sends nothing
-	Upstream       int     `edn:"upstream" def:"512" min:"1"`         // connections a member
-	Pipeline       int     `edn:"pipeline" def:"1" min:"1" max:"64"`  // GETs on one connection to a member, once all of its connections are in use
-	UpstreamIdle   float64 `edn:"upstream-idle" def:"15000" min:"1"`  // kept unused for
-	Drain          float64 `edn:"drain" def:"10000" min:"0"`          // to finish after SIGTERM
+	Held           int     `edn:"held" def:"20000" min:"1"`          // requests in hand
+	Pipelined      int     `edn:"pipelined" def:"16384" min:"1024"`  // bytes read ahead of a connection's present request
+	Head           int     `edn:"head" def:"32768" min:"1024"`       // bytes of a head
+	Line           int     `edn:"line" def:"8192" min:"256"`         // bytes of a request line
+	Fields         int     `edn:"fields" def:"100" min:"8"`          // field lines
+	Body           int     `edn:"body" def:"1048576" min:"0"`        // bytes of a request's body
+	Buffer         int     `edn:"buffer" def:"262144" min:"4096"`    // bytes that wait for a slow client
+	HeadTime       float64 `edn:"head-time" def:"10000" min:"1"`     // for a whole request to come
+	ClientIdle     float64 `edn:"client-idle" def:"60000" min:"1"`   // between requests
+	WriteIdle      float64 `edn:"write-idle" def:"20000" min:"1"`    // a client that takes nothing
+	Connect        float64 `edn:"connect" def:"500" min:"1"`         // to a member
+	BodyIdle       float64 `edn:"body-idle" def:"5000" min:"1"`      // a member that has begun to answer and sends nothing
+	Upstream       int     `edn:"upstream" def:"512" min:"1"`        // connections a member
+	Pipeline       int     `edn:"pipeline" def:"1" min:"1" max:"64"` // GETs on one connection to a member, once all of its connections are in use
+	UpstreamIdle   float64 `edn:"upstream-idle" def:"15000" min:"1"` // kept unused for
+	Drain          float64 `edn:"drain" def:"10000" min:"0"`         // to finish after SIGTERM
+	PerAddress     int     `edn:"connections-per-address" def:"5000" min:"1"`
+	MemoryMB       float64 `edn:"memory-mb" def:"512" min:"0"`     // of buffers, requests and connections; past it idle connections go, then requests; 0: no limit
+	HeadRate       float64 `edn:"head-rate" def:"0.1" min:"0"`     // KB a second that a request's head comes at, at least; 0: any
+	HeadGrace      float64 `edn:"head-grace" def:"5000" min:"100"` // ms that a client may run up beyond what its bytes pay for
+	ClientRate     float64 `edn:"client-rate" def:"2" min:"0"`     // KB a second that a client sends a body or takes an answer at, at least
+	ClientGrace    float64 `edn:"client-grace" def:"10000" min:"100"`
+	MemberRate     float64 `edn:"member-rate" def:"4" min:"0"` // KB a second that a member sends an answer at, at least
+	MemberGrace    float64 `edn:"member-grace" def:"5000" min:"100"`
+	JuryShare      float64 `edn:"jury" def:"0.5" min:"0" max:"1"`     // where more of the members at work are slow at once, none is cut
+	TurnKB         float64 `edn:"turn-kb" def:"2048" min:"16"`        // that a turn of the loop moves at most
+	QuantumKB      float64 `edn:"quantum-kb" def:"256" min:"4"`       // that a class of weight 1 moves in its turn
+	OverloadTarget float64 `edn:"overload-target" def:"20" min:"1"`   // ms that ready bytes may wait for the router
+	OverloadLeast  int     `edn:"overload-least" def:"64" min:"1"`    // requests in hand that are always allowed
+	RetryShare     float64 `edn:"retry-share" def:"0.25" min:"0"`     // repeats for each first try, of all clients, while overloaded
+	RetryBurst     int     `edn:"retry-burst" def:"200" min:"1"`      // repeats of one address at once; each first try gives one back
 	LogQueue       int     `edn:"log-queue" def:"8192" min:"16"`      // lines
 	Attempts       int     `edn:"attempts" def:"6" min:"1" max:"100"` // a request
 	RetryAfter     float64 `edn:"retry-after" def:"2000" min:"0"`     // longest advice to clients; 0: none
@@ -133,6 +148,7 @@
 	Effect     string  `edn:"effect" def:"free" oneof:"free guarded single-shot"`
 	Group      string  `edn:"group" def:"nowhere" oneof:"nowhere cell zone all"` // of guarded: who drops repeats
 	Window     float64 `edn:"window" min:"0"`                                    // of guarded: for how long
+	Weight     float64 `edn:"weight" def:"1" min:"0.01" max:"1000"`              // share of the loop's bytes, beside other classes that have any to move
 	Parts      bool    `edn:"parts"`
 	Write      bool    `edn:"write"`
 	Fresh      float64 `edn:"fresh" min:"0"` // 0: until purged
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -72,6 +72,10 @@
 	err := e.Query(func(s *Stats, c *core.Core) {
 		out["name"], out["stats"], out["list_rev"], out["lag_ms"] = e.name, *s, c.Rev(), e.l.Lag()
 		out["version"] = e.version
+		g := e.guard
+		out["limits"] = map[string]any{"cut": g.counts.Map(), "memory": g.mem.Map(), "memory_used": g.mem.Used(), "memory_most": g.mem.Most,
+			"in_hand_limit": g.adm.Limit(), "overloaded": g.adm.Over(), "wait_ms": g.adm.Waits, "ready": g.turns.Len(), "connections_limit": g.most,
+			"spared": g.jury.Spared, "slow_ms": e.l.Slow()}
 		out["draining"], out["timers"] = e.draining, e.l.Timers()
 	})
 	if e.journal != nil {
--- a/internal/edge/buffer.go
+++ b/internal/edge/buffer.go
@@ -1,5 +1,7 @@
 package edge
 
+import "indigospool/internal/limits"
+
 // outq is what waits to be written. Its memory is lent by the edge for as long
 // as something waits.
 type outq struct {
@@ -52,19 +54,23 @@
 				e.lent[i] = e.lent[i][:k-1]
 				return b
 			}
+			e.guard.mem.Add(limits.Answers, int64(size))
 			return make([]byte, 0, size)
 		}
 	}
+	e.guard.mem.Add(limits.Answers, int64(n))
 	return make([]byte, 0, n)
 }
 
 func (e *Edge) giveBack(b []byte) {
 	for i, size := range lentSizes {
 		if cap(b) == size {
-			if (len(e.lent[i])+1)*size <= lentBytes {
+			if (len(e.lent[i])+1)*size <= lentBytes && !e.guard.mem.Full() {
 				e.lent[i] = append(e.lent[i], b[:0])
+				return
 			}
-			return
+			break
 		}
 	}
+	e.guard.mem.Add(limits.Answers, -int64(cap(b)))
 }
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -1,11 +1,14 @@
 package edge
 
 import (
+	"net/netip"
+
 	"golang.org/x/sys/unix"
 
 	spool "indigospool"
 	"indigospool/internal/core"
 	"indigospool/internal/http1"
+	"indigospool/internal/limits"
 	"indigospool/internal/loop"
 )
 
@@ -18,6 +21,15 @@
 	idle loop.Timer
 	cur  *request // in hand; nil between requests
 
+	from           netip.Addr
+	address        string      // from, as text
+	flow           limits.Flow // of what is waited for from it
+	class          int         // in the scheduler, of its last request
+	before, behind *client     // among those between requests
+	booked         int64       // of the memory budget, for left
+	queued         bool        // ready to take bytes, and waiting for its turn
+	since          float64     // when it was queued
+
 	gone    bool // closed
 	eof     bool // the client sends no more
 	stalled bool // it has taken nothing since the idle timer was armed
@@ -33,7 +45,13 @@
 
 func (c *client) OnReady(r loop.Ready) {
 	if r.Writable() && c.out.len() > 0 {
-		c.flush()
+		if c.out.len() <= smallWrite {
+			c.flush()
+		} else if !c.queued {
+			c.queued, c.since = true, c.e.l.Now()
+			c.e.guard.watch(c, false) // it is the router that it waits for now
+			c.e.guard.ready(c.class, c)
+		}
 	}
 	if !c.gone && r.Readable() {
 		c.read(r)
@@ -41,6 +59,25 @@
 }
 
 func (c *client) read(r loop.Ready) {
+	c.readOnce(r)
+	c.book()
+}
+
+// book books what is read and not yet taken.
+func (c *client) book() {
+	if n := int64(cap(c.left)); n != c.booked {
+		c.e.guard.mem.Add(limits.Heads, n-c.booked)
+		c.booked = n
+	}
+}
+
+// fresh forgets how it was waited for.
+func (c *client) fresh() {
+	delete(c.e.guard.slow, c)
+	c.flow = limits.Flow{}
+}
+
+func (c *client) readOnce(r loop.Ready) {
 	buf := c.e.scratch[:readSize]
 	n, err := loop.ReadFD(c.fd, buf)
 	switch {
@@ -59,6 +96,10 @@
 		return
 	}
 	c.e.stats.InBytes += uint64(n)
+	if c.flow.Waiting() && c.out.len() == 0 {
+		least, _ := c.judgedBy()
+		c.flow.Moved(c.e.guard.now(), n, least)
+	}
 	data := buf[:n]
 	if len(c.left) > 0 || c.cur != nil && c.cur.phase != takingBody {
 		c.left = append(c.left, data...)
@@ -112,6 +153,7 @@
 				return nil
 			}
 			if c.cur != nil && c.cur.phase == takingBody {
+				c.e.guard.watch(c, true)
 				return data // more has to come
 			}
 			continue
@@ -125,6 +167,7 @@
 		}
 		if !c.reading {
 			c.reading = true
+			c.e.guard.idle.remove(c)
 			c.e.l.Arm(&c.idle, c.e.s.Limits.HeadTime)
 		}
 		n, err := c.e.core.Parse(data, &c.e.head)
@@ -133,9 +176,11 @@
 			return nil
 		}
 		if n == 0 {
+			c.e.guard.watch(c, true)
 			return data
 		}
 		data = data[n:]
+		c.fresh()
 		c.begin()
 	}
 	return data
@@ -169,6 +214,18 @@
 		c.answer(r, 503, 1000)
 		return
 	}
+	if cause := e.guard.admit(c, &r.q); cause != limits.None {
+		e.guard.counts[cause]++
+		c.skipBody(h)
+		r.why = endLimit
+		r.cause = cause
+		e.stats.Refused++
+		c.answer(r, 503, 1000)
+		return
+	}
+	c.class = e.guard.class(r.q.Class)
+	e.guard.mem.Add(limits.Requests, requestBytes)
+	r.booked = requestBytes
 	r.compose(h)
 	if err := r.body.Start(h, int64(e.s.Limits.Body)); err != nil {
 		c.fault(err)
@@ -222,7 +279,7 @@
 		b = http1.AppendFieldString(b, "Allow", "GET, HEAD")
 	}
 	if after > 0 {
-		b = http1.AppendFieldInt(b, "Retry-After", int64((after+999)/1000))
+		b = http1.AppendFieldInt(b, "Retry-After", c.e.guard.jitter.After(after))
 	}
 	b = http1.AppendFieldString(b, "Cache-Status", c.e.name+"; fwd=miss; detail="+r.word())
 	text := http1.Reason(status) + "\n"
@@ -267,6 +324,7 @@
 		return
 	}
 	c.e.stats.OutBytes += uint64(n)
+	c.took(n)
 	c.stalled = c.stalled && n == 0
 	if k := min(n, c.out.len()); k > 0 {
 		c.out.take(c.e, k)
@@ -293,21 +351,94 @@
 			return false
 		}
 		c.e.stats.OutBytes += uint64(n)
+		c.took(n)
 		c.stalled = false
 		c.out.take(c.e, n)
 	}
 	if c.gone {
 		return false
 	}
+	c.flushed()
+	return true
+}
+
+// flushed goes on after all that waited was written.
+func (c *client) flushed() {
 	c.wants()
 	if r := c.cur; r != nil && r.phase == relaying {
 		r.resume()
-		return true
+		return
 	}
 	if c.cur == nil {
 		c.next()
 	}
-	return true
+}
+
+// smallWrite is as much as is written at once, without waiting for a turn.
+const smallWrite = 16 << 10
+
+func (c *client) queuedAt() float64 { return c.since }
+
+// move writes what waits, in its turn.
+func (c *client) move(room int) (moved int, more bool) {
+	c.queued = false
+	for c.out.len() > 0 && !c.gone && moved < room {
+		b := c.out.bytes()
+		n, err := loop.WriteFD(c.fd, b[:min(len(b), room-moved)])
+		if err == unix.EAGAIN || err == unix.EINTR {
+			c.wants()
+			return moved, false
+		}
+		if err != nil {
+			c.lost()
+			return moved, false
+		}
+		c.e.stats.OutBytes += uint64(n)
+		c.took(n)
+		c.stalled = false
+		c.out.take(c.e, n)
+		moved += n
+	}
+	switch {
+	case c.gone:
+		return moved, false
+	case c.out.len() > 0:
+		c.queued = true
+		return moved, true
+	}
+	c.flushed()
+	return moved, false
+}
+
+// took books that the client took bytes.
+func (c *client) took(n int) {
+	if n > 0 && (c.flow.Waiting() || c.out.len() > 0) {
+		c.flow.Moved(c.e.guard.now(), n, &c.e.guard.reader)
+	}
+}
+
+// judgedBy is the least rate that the client is held to now, and what it is cut for.
+func (c *client) judgedBy() (*limits.Least, limits.Cause) {
+	g := c.e.guard
+	switch {
+	case c.out.len() > 0:
+		return &g.reader, limits.SlowReader
+	case c.cur != nil:
+		return &g.body, limits.SlowBody
+	}
+	return &g.head, limits.SlowHead
+}
+
+// cutSlow ends the connection of a client that is too slow.
+func (c *client) cutSlow(cause limits.Cause) {
+	if cause == limits.SlowReader {
+		if c.cur != nil {
+			c.cur.why, c.cur.cause = endLimit, cause
+		}
+		c.lost()
+		return
+	}
+	c.fault(errTooSlow)
 }
 
 // wants tells the loop what is of interest.
@@ -321,20 +452,32 @@
 	}
 	if c.out.len() > 0 {
 		want |= loop.Write
+		if !c.queued {
+			c.e.guard.watch(c, true)
+		}
 		if !c.idle.Armed() || !c.stalled {
 			c.stalled = true
 			c.e.l.Arm(&c.idle, c.e.s.Limits.WriteIdle)
 		}
 	}
+	if c.out.len() == 0 && !c.coming() {
+		c.e.guard.watch(c, false)
+	}
 	c.e.l.Want(c.fd, want)
 }
 
+// coming reports that a request has begun to come, and is not whole.
+func (c *client) coming() bool {
+	return c.cur == nil && c.reading || c.cur != nil && c.cur.phase == takingBody
+}
+
 // done is called when the present answer is whole, written or waiting.
 func (c *client) done() {
 	c.cur, c.reading = nil, false
 	if c.gone {
 		return
 	}
+	c.fresh()
 	if c.out.len() > 0 {
 		c.flush() // and then goes on
 		return
@@ -356,11 +499,16 @@
 	default:
 		c.e.l.Arm(&c.idle, c.e.s.Limits.ClientIdle)
 		c.stalled = false
+		c.fresh()
 		if len(c.left) > 0 {
 			c.takeLeft()
 		} else if cap(c.left) > 0 {
 			c.left = nil
 		}
+		if !c.gone && c.cur == nil && !c.reading && c.out.len() == 0 {
+			c.e.guard.idle.add(c)
+		}
+		c.book()
 		if !c.gone && c.cur == nil && c.eof && c.out.len() == 0 {
 			c.close() // what is left will never be whole
 		}
@@ -430,7 +578,15 @@
 	c.e.l.Remove(c.fd)
 	unix.Close(c.fd)
 	delete(c.e.clients, c)
+	g := c.e.guard
+	delete(g.slow, c)
+	g.idle.remove(c)
+	if g.addresses[c.from]--; g.addresses[c.from] <= 0 {
+		delete(g.addresses, c.from)
+	}
 	c.left = nil
+	c.book()
+	g.mem.Add(limits.Connections, -clientBytes)
 	c.out.drop(c.e)
 	if c.e.draining {
 		c.e.checkDrained()
@@ -473,6 +629,8 @@
 	known   bool // the module has it
 
 	status int
+	cause  limits.Cause // of what a limit ended
+	booked int64        // of the memory budget
 	sent   int64
 	turned *core.Turndown // no class took it; nil: one did
 	why    endWord
@@ -530,7 +688,12 @@
 		if err != nil {
 			return n, err
 		}
+		had := cap(r.content)
 		r.content = append(r.content, content...)
+		if more := int64(cap(r.content) - had); more > 0 {
+			r.booked += more
+			r.e.guard.mem.Add(limits.Bodies, more)
+		}
 		if k == 0 {
 			break
 		}
@@ -655,6 +818,35 @@
 	r.c.answer(r, status, 0)
 }
 
+// written reports whether something of the request may have reached a member.
+func (r *request) written() bool {
+	for _, t := range r.tries {
+		if t.written {
+			return true
+		}
+	}
+	return false
+}
+
+// shed gives the request up for want of room: with an answer where it has none yet.
+func (r *request) shed(cause limits.Cause) {
+	c, e, id, known := r.c, r.e, r.id, r.known
+	r.why, r.cause = endLimit, cause
+	switch r.phase {
+	case takingBody:
+		c.last, c.linger = true, true
+		c.answer(r, 503, 1000)
+	case asked:
+		e.stats.Refused++
+		c.answer(r, 503, 1000)
+		if known {
+			e.tell(spool.Gone{ID: id}) // nobody waits for it any more
+		}
+	case relaying:
+		c.lost()
+	}
+}
+
 // finish ends the request for its client; attempts may still be out.
 func (r *request) finish() {
 	if r.phase == over {
@@ -679,6 +871,11 @@
 		delete(r.e.reqs, r.id)
 	}
 	r.freed = true
+	if r.booked > 0 {
+		r.e.guard.mem.Add(limits.Requests, -requestBytes)
+		r.e.guard.mem.Add(limits.Bodies, requestBytes-r.booked)
+		r.booked = 0
+	}
 	if e := r.e; len(e.free) < 1024 && cap(r.content) <= 64<<10 {
 		e.free = append(e.free, r) // it is made empty when it is used again
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	"indigospool/internal/fleet"
 	"indigospool/internal/http1"
 	"indigospool/internal/journal"
+	"indigospool/internal/limits"
 	"indigospool/internal/loop"
 )
 
@@ -35,7 +37,7 @@
 type Stats struct {
 	Accepted, Connections, Requests, Served, Refused, Failed, Malformed uint64
 	Gone, Broken, Attempts, Connects, Reused, Dropped                   uint64
-	InBytes, OutBytes                                                   uint64
+	InBytes, OutBytes, AcceptPauses, ConnectWaits                       uint64
 	Held, Upstreams, MostHeld                                           int
 }
 
@@ -70,6 +72,7 @@
 	probed    func(spool.Probed) // also hears of probes, in tests
 	stopWatch func()
 	stopAdmin func()
+	guard     *guard
 	journal   *journal.Writer // nil: none is kept
 	versions  *Versions
 	version   int64              // in use; 0: the file
@@ -93,6 +96,7 @@
 		reqs: map[string]*request{}, pools: map[string]*pool{}, scratch: make([]byte, 256<<10)}
 	e.listState.Store("none")
 	e.drainT.F = e.drained
+	e.guard = newGuard(e)
 	e.acceptT.F = func() { e.l.Want(e.lfd, loop.Read) }
 	if e.lfd, e.addr, err = listen(s.Router.Listen); err != nil {
 		return nil, fmt.Errorf("edge: listen %s: %w; is the address free, and one of this machine?", s.Router.Listen, err)
@@ -174,6 +178,8 @@
 	if err := e.l.Add(e.lfd, loop.Read, &e.listener); err != nil {
 		return err
 	}
+	e.l.After(e.guard.after)
+	e.l.Arm(&e.guard.sweepT, sweepEvery)
 	e.l.Post(e.begin)
 	if e.s.Router.List != "" {
 		e.stopWatch = e.watch()
@@ -282,7 +288,7 @@
 func (a *acceptor) OnReady(loop.Ready) {
 	e := a.e
 	for range e.s.Limits.AcceptPerTurn {
-		fd, _, err := unix.Accept4(e.lfd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, from, err := unix.Accept4(e.lfd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
 		case nil:
 		case unix.EAGAIN:
@@ -290,27 +296,65 @@
 		case unix.EINTR, unix.ECONNABORTED, unix.EPROTO:
 			continue
 		default: // no descriptors or memory: wait until some are free, without spinning
+			if e.guard.closeIdle(limits.Descriptors) {
+				continue
+			}
+			e.stats.AcceptPauses++
 			e.l.Want(e.lfd, 0)
 			e.l.Arm(&e.acceptT, 50)
 			return
 		}
 		e.stats.Accepted++
-		if len(e.clients) >= e.s.Limits.Connections {
-			unix.Write(fd, busyAnswer)
-			unix.Close(fd)
-			e.stats.Refused++
-			continue
-		}
+		e.adopt(fd, addressOf(from), true)
+	}
+}
+
+// adopt takes a client's connection, unless as many are there as may be: then it is
+// told so, and closed.
+func (e *Edge) adopt(fd int, from netip.Addr, answer bool) {
+	g := e.guard
+	cause := limits.None
+	switch {
+	case g.addresses[from] >= e.s.Limits.PerAddress:
+		cause = limits.PerAddress
+	case g.full():
+		cause = limits.Descriptors
+	case g.mem.Full() && !g.closeIdle(limits.Memory):
+		cause = limits.Memory
+	}
+	c := &client{e: e, fd: fd, from: from, address: from.String(), class: len(g.classes)}
+	c.idle.F = c.onIdle
+	if cause == limits.None {
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		c := &client{e: e, fd: fd}
-		c.idle.F = c.onIdle
 		if err := e.l.Add(fd, loop.Read, c); err != nil {
-			unix.Close(fd)
-			continue
+			cause = limits.Descriptors
 		}
-		e.clients[c] = struct{}{}
-		e.l.Arm(&c.idle, e.s.Limits.ClientIdle)
 	}
+	if cause != limits.None {
+		g.counts[cause]++
+		e.stats.Refused++
+		if answer {
+			unix.Write(fd, busyAnswer)
+		}
+		unix.Close(fd)
+		return
+	}
+	e.clients[c] = struct{}{}
+	g.addresses[from]++
+	g.mem.Add(limits.Connections, clientBytes)
+	g.idle.add(c)
+	e.l.Arm(&c.idle, e.s.Limits.ClientIdle)
+}
+
+// addressOf is a peer's address, without its port.
+func addressOf(sa unix.Sockaddr) netip.Addr {
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrFrom4(a.Addr)
+	case *unix.SockaddrInet6:
+		return netip.AddrFrom16(a.Addr).Unmap()
+	}
+	return netip.Addr{}
 }
 
 // wake is a timer that the module asked for.
--- /dev/null
+++ b/internal/edge/guard.go
@@ -0,0 +1,308 @@
+package edge
+
+import (
+	"math"
+	"net/netip"
+	"sort"
+
+	"golang.org/x/sys/unix"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+	"indigospool/internal/limits"
+	"indigospool/internal/loop"
+)
+
+// guard carries out what internal/limits decides: it tells it what sockets do, and
+// cuts, refuses and sheds what it names. The decisions are that package's.
+type guard struct {
+	e *Edge
+
+	head, body, reader, member limits.Least
+	jury                       limits.Jury
+	turns                      *limits.DRR[mover]
+	adm                        *limits.Admission
+	retries                    *limits.Retries
+	jitter                     *limits.Jitter
+	mem                        limits.Budget
+	counts                     limits.Counts
+
+	classes   map[string]int // places of the scheduler's
+	ranks     []float64      // of classes by worth, 0 to 1
+	worth     []float64
+	slow      map[*client]struct{} // clients that are waited for
+	addresses map[netip.Addr]int   // connections of clients
+	idle      idleList
+	sweepT    loop.Timer
+	retryT    loop.Timer // attempts that wait for a descriptor
+	most      int        // connections that there are descriptors for
+}
+
+// mover is a connection that is ready to move bytes.
+type mover interface {
+	// move moves at most about room bytes; more says that it is ready for more.
+	move(room int) (moved int, more bool)
+	queuedAt() float64
+}
+
+const (
+	sweepEvery = 250 // ms between looks at slow peers
+	// memory that is booked for what is not a buffer, in bytes, measured as by
+	// spool-bench idle: descriptions, their places in tables, and timers
+	clientBytes   = 1 << 10
+	upstreamBytes = 2 << 10
+	requestBytes  = 3 << 10
+	spareFiles    = 24 // descriptors for what is no connection
+)
+
+func newGuard(e *Edge) *guard {
+	g := &guard{e: e, slow: map[*client]struct{}{}, addresses: map[netip.Addr]int{}}
+	g.idle.init()
+	g.sweepT.F = g.sweep
+	g.retryT.F = func() { e.retryWaiting() }
+	g.adopt(e.s)
+	return g
+}
+
+// adopt goes by settings from now on. What was learned stays.
+func (g *guard) adopt(s *config.Settings) {
+	l := &s.Limits
+	least := func(kbs, grace float64) limits.Least {
+		return limits.Least{Rate: kbs * 1024 / 1000, Grace: grace, Step: 2 * sweepEvery}
+	}
+	g.head, g.body = least(l.HeadRate, l.HeadGrace), least(l.ClientRate, l.ClientGrace)
+	g.reader, g.member = g.body, least(l.MemberRate, l.MemberGrace)
+	g.jury.Span, g.jury.Share, g.jury.Least = 2*l.MemberGrace+1000, l.JuryShare, 3
+	g.mem.Total = int64(l.MemoryMB * (1 << 20))
+	var weights []float64
+	g.classes, g.ranks, g.worth = map[string]int{}, nil, nil
+	for i := range s.Classes {
+		g.classes[s.Classes[i].Name] = i
+		weights = append(weights, s.Classes[i].Weight)
+		g.worth = append(g.worth, s.Classes[i].Worth)
+	}
+	sorted := append([]float64(nil), g.worth...)
+	sort.Float64s(sorted)
+	for _, w := range g.worth {
+		g.ranks = append(g.ranks, float64(sort.SearchFloat64s(sorted, math.Nextafter(w, math.Inf(1)))-1)/max(float64(len(sorted)-1), 1))
+	}
+	weights = append(weights, 1) // of no class
+	old := g.turns
+	g.turns = limits.NewDRR[mover](int(l.QuantumKB*1024), weights)
+	for old != nil && old.Len() > 0 {
+		it, _, _, _ := old.Next()
+		g.turns.Push(len(weights)-1, it)
+	}
+	if g.adm == nil {
+		g.jitter = limits.NewJitter(uint64(s.Router.Seed), 0.5)
+	}
+	g.adm = limits.NewAdmission(limits.AdmissionSettings{Target: l.OverloadTarget, Interval: 100, Least: l.OverloadLeast, Most: l.Held, Headroom: 0.2})
+	g.retries = limits.NewRetries(limits.RetrySettings{Share: l.RetryShare, Burst: 100, AddressShare: 1, AddressBurst: float64(l.RetryBurst), Addresses: 4096})
+	g.most = l.Connections
+	var r unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &r) == nil && r.Cur < 1<<30 {
+		// a request in hand needs a connection of its own and one to a member
+		g.most = min(g.most, max((int(r.Cur)-spareFiles)*3/5, 8))
+	}
+}
+
+// class is a class's place in the scheduler.
+func (g *guard) class(name string) int {
+	if i, ok := g.classes[name]; ok {
+		return i
+	}
+	return len(g.classes)
+}
+
+// ready queues a connection that is ready to move bytes.
+func (g *guard) ready(class int, m mover) { g.turns.Push(class, m) }
+
+// after is the end of each turn of the loop: ready connections move bytes in their
+// order, as many as a turn may, and what is over is shed.
+func (g *guard) after() (more bool) {
+	e := g.e
+	if g.turns.Len() == 0 {
+		g.adm.Waited(e.l.Took())
+	} else {
+		left := int(e.s.Limits.TurnKB * 1024)
+		for left > 0 {
+			it, class, room, ok := g.turns.Next()
+			if !ok {
+				break
+			}
+			g.adm.Waited(e.l.Took() + e.l.Now() - it.queuedAt())
+			n, more := it.move(room)
+			g.turns.Used(class, it, n, more)
+			left -= max(n, 1024) // a call has its price too
+		}
+	}
+	g.adm.Turn(e.l.Now(), len(e.reqs))
+	if g.mem.Full() {
+		g.shed()
+	}
+	return g.turns.Len() > 0
+}
+
+// admit decides whether a request whose head has come is taken into hand.
+func (g *guard) admit(c *client, q *spool.Request) limits.Cause {
+	switch {
+	case g.mem.Full():
+		return limits.Memory
+	case !g.retries.Ask(c.address, q.Retry, g.adm.Over()):
+		return limits.Repeats
+	case !g.adm.Admit(len(g.e.reqs), g.rank(q.Class)):
+		return limits.Overload
+	}
+	return limits.None
+}
+
+func (g *guard) rank(class string) float64 {
+	if i, ok := g.classes[class]; ok {
+		return g.ranks[i]
+	}
+	return 0
+}
+
+// now is the time by which peers are judged: what turns of the loop took beyond the
+// ordinary is not theirs.
+func (g *guard) now() float64 { return g.e.l.Now() - g.e.l.Slow() }
+
+// sweep looks at those that are waited for.
+func (g *guard) sweep() {
+	e, now := g.e, g.now()
+	e.l.Arm(&g.sweepT, sweepEvery)
+	for c := range g.slow {
+		if least, cause := c.judgedBy(); c.flow.Slow(now, least) {
+			g.counts[cause]++
+			c.cutSlow(cause)
+		}
+	}
+	for _, p := range e.pools {
+		for u := range p.all {
+			switch {
+			case u.state != upBody || !u.flow.Waiting():
+			case !u.flow.Slow(now, &g.member):
+				if u.flow.Due(&g.member) > 0.75*g.member.Grace {
+					g.jury.Good(p.member, now)
+				}
+			case g.jury.Cut(p.member, now):
+				g.counts[limits.SlowMember]++
+				u.broke(spool.TimedOut)
+			}
+		}
+	}
+}
+
+// watch has a client's flow follow whether it is waited for.
+func (g *guard) watch(c *client, waited bool) {
+	if waited == c.flow.Waiting() {
+		return
+	}
+	if waited {
+		c.flow.Wait(g.now())
+		g.slow[c] = struct{}{}
+		return
+	}
+	least, _ := c.judgedBy()
+	c.flow.Rest(g.now(), least)
+	delete(g.slow, c)
+}
+
+// shed gives memory back: idle connections, the longest unused first, and at the very
+// edge requests, by limits.Order.
+func (g *guard) shed() {
+	idle, requests := g.mem.Excess()
+	for idle > 0 && g.closeIdle(limits.Memory) {
+		idle -= clientBytes
+	}
+	if requests -= max(requests-idle, 0); requests <= 0 {
+		return
+	}
+	e := g.e
+	var held []limits.Holder
+	var list []*request
+	for c := range e.clients {
+		r := c.cur
+		if r == nil {
+			continue
+		}
+		h := limits.Holder{Index: len(list), Bytes: requestBytes + int64(cap(c.out.buf)+cap(c.left)+cap(r.content)), Begun: r.phase == relaying,
+			Left: max(r.q.KB*1024-float64(r.sent), 0), Repeat: r.phase == takingBody || !r.q.Write || !r.written()}
+		if i, ok := g.classes[r.q.Class]; ok {
+			k := &e.s.Classes[i]
+			if h.Worth = k.Worth; e.l.Now()-r.at > k.Aim {
+				h.Worth *= k.LateWorth
+			}
+		}
+		held, list = append(held, h), append(list, r)
+	}
+	for _, h := range limits.Shed(held, requests) {
+		if r := list[h.Index]; r.c.cur == r {
+			g.counts[limits.Memory]++
+			r.shed(limits.Memory)
+		}
+	}
+}
+
+// closeIdle closes the connection that is unused for longest; false: none is.
+func (g *guard) closeIdle(cause limits.Cause) bool {
+	c := g.idle.oldest()
+	if c == nil {
+		return false
+	}
+	g.counts[cause]++
+	c.close()
+	return true
+}
+
+// full reports that a connection more can't be had, with those that are idle gone.
+func (g *guard) full() bool {
+	return len(g.e.clients) >= g.most && !g.closeIdle(limits.Descriptors)
+}
+
+// isShort reports an error that says that the process or the machine lacks
+// descriptors or memory now, and nothing of a peer.
+func isShort(err error) bool {
+	switch err {
+	case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EAGAIN, unix.EADDRNOTAVAIL:
+		return true
+	}
+	return false
+}
+
+// retryWaiting has attempts go on that wait for a descriptor.
+func (e *Edge) retryWaiting() {
+	for _, p := range e.pools {
+		for n := len(p.wait); n > 0 && len(p.wait) > 0; n-- {
+			p.next()
+		}
+	}
+}
+
+// idleList is the clients between requests, the longest unused first.
+type idleList struct{ root client }
+
+func (l *idleList) init() { l.root.before, l.root.behind = &l.root, &l.root }
+
+func (l *idleList) add(c *client) {
+	if c.behind != nil {
+		l.remove(c)
+	}
+	c.before, c.behind = l.root.before, &l.root
+	c.before.behind, l.root.before = c, c
+}
+
+func (l *idleList) remove(c *client) {
+	if c.behind == nil {
+		return
+	}
+	c.before.behind, c.behind.before = c.behind, c.before
+	c.before, c.behind = nil, nil
+}
+
+func (l *idleList) oldest() *client {
+	if l.root.behind == &l.root {
+		return nil
+	}
+	return l.root.behind
+}
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -13,6 +13,7 @@
 
 	spool "indigospool"
 	"indigospool/internal/config"
+	"indigospool/internal/limits"
 )
 
 // endWord says why a request ended, in a few stable words: docs/operating.md.
@@ -28,6 +29,7 @@
 	endMalformed                     // no valid message
 	endNoRoute                       // no class fits
 	endHeld                          // as many requests in hand as may be
+	endLimit                         // a limit of internal/limits, which the request names
 )
 
 func (w endWord) word() string {
@@ -51,7 +53,7 @@
 	case endHeld:
 		return "held-limit"
 	}
-	return "unknown"
+	return "limit"
 }
 
 var resultWords = [...]string{spool.OK: "ok", spool.Errored: "error", spool.Full: "full", spool.TimedOut: "timeout",
@@ -177,6 +179,9 @@
 	if r.turned != nil {
 		return r.turned.Word
 	}
+	if r.cause != limits.None {
+		return r.cause.String()
+	}
 	return r.why.word()
 }
 
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -8,6 +8,7 @@
 	spool "indigospool"
 	"indigospool/internal/fillwire"
 	"indigospool/internal/http1"
+	"indigospool/internal/limits"
 	"indigospool/internal/loop"
 )
 
@@ -155,6 +156,17 @@
 		return
 	}
 	u, err := p.connect()
+	if err != nil && isShort(err) { // the router's own lack, and no word about the member
+		p.e.stats.ConnectWaits++
+		p.wait = append(p.wait, t)
+		if !p.e.guard.closeIdle(limits.Descriptors) {
+			p.e.closeUnused(p)
+		}
+		if !p.e.guard.retryT.Armed() {
+			p.e.l.Arm(&p.e.guard.retryT, 20)
+		}
+		return
+	}
 	if err != nil {
 		t.end(spool.ConnectFailed, spool.NoteNone, false)
 		return
@@ -233,6 +245,9 @@
 	timer  loop.Timer
 	drain  int
 	note   spool.Note
+	flow   limits.Flow // of an answer's body
+	queued bool        // bytes have come, and wait for their turn
+	since  float64     // when it was queued
 }
 
 func (p *pool) connect() (*upstream, error) {
@@ -252,9 +267,20 @@
 	}
 	p.e.stats.Connects++
 	p.all[u] = struct{}{}
+	p.e.guard.mem.Add(limits.Connections, upstreamBytes)
 	return u, nil
 }
 
+// closeUnused closes an unused connection to another address, for its descriptor.
+func (e *Edge) closeUnused(but *pool) {
+	for _, p := range e.pools {
+		if p != but && len(p.idle) > 0 {
+			p.idle[0].close() // the longest unused
+			return
+		}
+	}
+}
+
 // dial begins to connect without waiting.
 func dial(address string) (fd int, inProgress bool, err error) {
 	ap, err := netip.ParseAddrPort(address)
@@ -366,6 +392,10 @@
 	case upConnecting:
 		u.broke(spool.ConnectFailed)
 	case upBody:
+		if u.queued { // its bytes have come: it is the router that is late
+			u.e.l.Arm(&u.timer, u.e.s.Limits.BodyIdle)
+			return
+		}
 		u.broke(spool.TimedOut)
 	default:
 		u.close()
@@ -395,11 +425,46 @@
 			return
 		}
 	}
-	if r.Readable() {
-		u.read(r)
+	if !r.Readable() {
+		return
+	}
+	if u.state != upBody {
+		u.read(r.Hangup(), headRead)
+		return
+	}
+	if !u.queued {
+		u.queued, u.since = true, u.e.l.Now()
+		u.flow.Rest(u.e.guard.now(), &u.e.guard.member) // it is the router that it waits for now
+		u.e.guard.ready(u.t.r.c.class, u)
+	}
+}
+
+// headRead is as much as is read at once where an answer's head is to come: small
+// answers are whole with it.
+const headRead = 128 << 10
+
+func (u *upstream) queuedAt() float64 { return u.since }
+
+// move passes on a part of a body, in its turn.
+func (u *upstream) move(room int) (moved int, more bool) {
+	u.queued = false
+	if u.fd < 0 || u.state != upBody && u.state != upDrain || u.held {
+		return 0, false
+	}
+	n := u.read(false, max(room, leastRead))
+	if n >= room && u.fd >= 0 && u.state == upBody && !u.held {
+		u.queued, u.since = true, u.e.l.Now()
+		return n, true
 	}
+	if u.fd >= 0 && u.state == upBody && !u.held {
+		u.flow.Wait(u.e.guard.now())
+	}
+	return max(n, 0), false
 }
 
+// leastRead is the least that is asked of a socket at once.
+const leastRead = 4 << 10
+
 // broke ends the connection, and its attempt with the result.
 func (u *upstream) broke(result spool.Result) {
 	t := u.t
@@ -440,6 +505,7 @@
 	u.fd = -1
 	p := u.p
 	delete(p.all, u)
+	u.e.guard.mem.Add(limits.Connections, -upstreamBytes)
 	for i, x := range p.idle {
 		if x == u {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
@@ -492,31 +558,35 @@
 	}
 }
 
-// read takes what has come.
-func (u *upstream) read(r loop.Ready) {
+// read takes what has come, at most so many bytes, and returns how many that were.
+func (u *upstream) read(hangup bool, most int) int {
 	buf := u.e.scratch
 	k := copy(buf, u.left)
-	n, err := loop.ReadFD(u.fd, buf[k:])
+	n, err := loop.ReadFD(u.fd, buf[k:min(k+most, len(buf))])
 	if err == unix.EAGAIN || err == unix.EINTR {
-		if r.Hangup() {
+		if hangup {
 			u.broke(spool.Reset)
 		}
-		return
+		return 0
 	}
 	if err != nil || n == 0 {
 		if err == nil && u.state == upBody && u.body.End() {
 			u.finishBody(false)
-			return
+			return 0
 		}
 		u.broke(spool.Reset)
-		return
+		return 0
 	}
 	u.e.stats.InBytes += uint64(n)
 	if u.state == upIdle { // nothing was asked: whatever it is, it answers nothing
 		u.close()
-		return
+		return n
+	}
+	if u.state == upBody {
+		u.flow.Moved(u.e.guard.now(), n, &u.e.guard.member)
 	}
 	u.take(buf[:k+n])
+	return n
 }
 
 // take takes bytes of an answer. What it leaves is kept only of heads and of
@@ -681,6 +751,8 @@
 		return
 	}
 	e.l.Arm(&u.timer, e.s.Limits.BodyIdle)
+	u.flow = limits.Flow{}
+	u.flow.Wait(e.guard.now())
 }
 
 // relay passes content on to the client. Once as much waits as may, the member
@@ -720,6 +792,7 @@
 	}
 	if u.t != nil && u.fd >= 0 && c.out.len() >= u.e.s.Limits.Buffer {
 		u.held = true
+		u.flow.Rest(u.e.guard.now(), &u.e.guard.member)
 		u.e.l.Disarm(&u.timer) // the client holds things up, not the member
 		u.e.l.Want(u.fd, 0)
 	}
@@ -734,6 +807,7 @@
 	}
 	u := t.u
 	u.held = false
+	u.flow.Wait(u.e.guard.now())
 	u.e.l.Arm(&u.timer, u.e.s.Limits.BodyIdle)
 	u.e.l.Want(u.fd, loop.Read)
 }
@@ -755,6 +829,7 @@
 	}
 	r.why = endServed
 	r.e.stats.Served++
+	u.e.guard.jury.Good(u.p.member, u.e.guard.now())
 	t.u, u.t = nil, nil
 	keep := !excess && !u.head.Close && u.body.Kind() != http1.UntilClose
 	note := u.note
--- a/internal/edge/versions.go
+++ b/internal/edge/versions.go
@@ -187,6 +187,7 @@
 		e.carryOut(acts[i])
 	}
 	e.s = u.Settings
+	e.guard.adopt(e.s)
 	for _, s := range steps {
 		tell(s)
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -71,6 +71,9 @@
 	timers       heap
 	turns        uint64
 	lag          Millis // the longest turn of late, see Lag
+	slow         Millis // see Slow
+	after        func() (more bool)
+	again        bool // after has more to do: the next turn does not wait
 
 	mu      sync.Mutex
 	posted  []func()
@@ -125,6 +128,19 @@
 // Lag is a decaying maximum of how long turns take, in milliseconds.
 func (l *Loop) Lag() Millis { return l.lag }
 
+// Slow is how many milliseconds turns have taken in all beyond slowTurn each: time in
+// which peers waited for the loop, and not it for them.
+func (l *Loop) Slow() Millis { return l.slow }
+
+const slowTurn = 5 // ms
+
+// After has f called at the end of each turn, behind readiness, posted calls and
+// timers. While it returns true there is more to do: the next turn does not wait.
+func (l *Loop) After(f func() (more bool)) { l.after = f }
+
+// Took is how long the present turn has taken so far.
+func (l *Loop) Took() Millis { return Clock() - l.now }
+
 // Add begins to watch a descriptor, which stays the caller's to close.
 func (l *Loop) Add(fd int, want Interest, h Handler) error {
 	if fd < 0 {
@@ -243,7 +259,9 @@
 // readiness first, then posted calls, then timers.
 func (l *Loop) turn() error {
 	wait := -1
-	if len(l.timers.list) > 0 {
+	if l.again {
+		wait = 0
+	} else if len(l.timers.list) > 0 {
 		wait = max(int(l.timers.list[0].due-Clock()+0.999), 0)
 	}
 	n, err := l.poll(wait)
@@ -268,7 +286,11 @@
 		l.runPosted()
 	}
 	l.runTimers()
+	if l.after != nil {
+		l.again = l.after()
+	}
 	took := Clock() - l.now
+	l.slow += max(took-slowTurn, 0)
 	l.lag = max(took, l.lag*0.99)
 	if n == len(l.events) && n < 8192 {
 		l.events = make([]unix.EpollEvent, 2*n)
@@ -357,8 +379,8 @@
 	}
 }
 
-// After calls f once after in. It allocates; use a Timer of your own on hot paths.
-func (l *Loop) After(in Millis, f func()) *Timer {
+// Once calls f once after in. It allocates; use a Timer of your own on hot paths.
+func (l *Loop) Once(in Millis, f func()) *Timer {
 	t := &Timer{F: f}
 	l.Arm(t, in)
 	return t
