Graceful restart: sockets, connections and what was learned go to the successor

A restart refused connections, lost what was in hand and began with cold ranges, full cold budgets and no purges. With (router (handover PATH)) a process that is started takes over from the one there: listening sockets and the memory over a Unix socket (SCM_RIGHTS, one user only), then, once it serves, clients' connections, each when it is between requests. The module says what it has learned (Memory) and recalls it (Recalled); the one that leaves spends no cold budget any more (Retired), and does again if its successor never serves. The core hands over starts and the list's version. A memory that is damaged or of another version is refused, and the successor starts as new. Both stand in journals; the successor leaves segment numbers free for the one before.

Ten restarts under 16 users, with purges: none refused, lost or run twice, journals of all eleven replayed equal.

--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -36,6 +36,8 @@
 	Level  string `edn:"level" def:"info" oneof:"debug info warn error"`
 	Seed   int    `edn:"seed" def:"1"`
 
+	Handover string `edn:"handover"` // path of a Unix socket, for a restart without a gap: a process that is started takes over from the one there; empty: none
+
 	Journal      string `edn:"journal"`                                    // folder for the journal of decisions; empty: none
 	JournalPart  int    `edn:"journal-part" def:"67108864" min:"4096"`     // bytes of a segment
 	JournalTotal int    `edn:"journal-total" def:"2147483648" min:"65536"` // bytes of all; the oldest segments go
@@ -80,6 +82,7 @@
 	OverloadTarget float64 `edn:"overload-target" def:"20" min:"1"`   // ms that ready bytes may wait for the router
 	OverloadLeast  int     `edn:"overload-least" def:"64" min:"1"`    // requests in hand that are always allowed
 	RetryShare     float64 `edn:"retry-share" def:"0.25" min:"0"`     // repeats for each first try, of all clients, while overloaded
+	Successor      float64 `edn:"successor" def:"30000" min:"100"`    // ms that a process that takes over may take until it serves
 	RetryBurst     int     `edn:"retry-burst" def:"200" min:"1"`      // repeats of one address at once; each first try gives one back
 	LogQueue       int     `edn:"log-queue" def:"8192" min:"16"`      // lines
 	Attempts       int     `edn:"attempts" def:"6" min:"1" max:"100"` // a request
@@ -279,6 +282,12 @@
 				"the admin listener has no password: bind it to 127.0.0.1 or to a Unix socket")
 		}
 	}
+	if h := s.Router.Handover; h != "" && !strings.HasPrefix(h, "/") {
+		add(s.Router.Place.Of("handover"), "router/handover", fmt.Sprintf("%q is no path of a socket", h), "write a whole path, as /run/spool/handover")
+	} else if h != "" && (s.Control.Store != "" || s.Follows()) {
+		add(s.Router.Place.Of("handover"), "router/handover", "it does not go with versions from a control service yet",
+			"leave out one of the two: the store of versions is open in one process only")
+	}
 	if s.Router.List != "" {
 		address(s.Router.Place.Of("list"), "router/list", s.Router.List)
 	}
--- /dev/null
+++ b/internal/core/memory.go
@@ -0,0 +1,41 @@
+package core
+
+import (
+	"sort"
+
+	spool "indigospool"
+)
+
+// Memory is what a core has learned, for its successor: the list as it was told,
+// with starts and addresses, and the module's own.
+type Memory struct {
+	Rev     int64
+	Members []Known // in the order of ids
+	Module  *spool.Memory
+}
+
+// Known is a listed member.
+type Known struct {
+	spool.Member
+	Address string
+	Start   int64
+}
+
+// Memory is a copy of what was learned.
+func (c *Core) Memory() *Memory {
+	m := &Memory{Rev: c.rev, Module: c.router.Memory()}
+	for _, k := range c.members {
+		m.Members = append(m.Members, Known{Member: k.Member, Address: k.address, Start: k.start})
+	}
+	sort.Slice(m.Members, func(i, j int) bool { return m.Members[i].ID < m.Members[j].ID })
+	return m
+}
+
+// Recall goes on from a predecessor's memory. It comes before any news.
+func (c *Core) Recall(now spool.Millis, m *Memory, dst []spool.Action) []spool.Action {
+	c.rev = m.Rev
+	for _, k := range m.Members {
+		c.members[k.ID] = &known{Member: k.Member, address: k.Address, start: k.Start}
+	}
+	return c.Handle(now, spool.Recalled{Memory: m.Module}, dst)
+}
--- a/internal/edge/admin.go
+++ b/internal/edge/admin.go
@@ -26,9 +26,19 @@
 			os.Remove(address) // of an earlier life
 		}
 	}
-	ln, err := net.Listen(network, address)
-	if err != nil {
-		return nil, fmt.Errorf("edge: admin listener %s: %w", address, err)
+	ln := adminFrom(e.inherited, address)
+	if ln == nil {
+		if ln, err = net.Listen(network, address); err != nil {
+			return nil, fmt.Errorf("edge: admin listener %s: %w", address, err)
+		}
+	}
+	switch ln := ln.(type) {
+	case *net.TCPListener:
+		if e.s.Router.Handover != "" {
+			e.adminFile, _ = ln.File()
+		}
+	case *net.UnixListener:
+		ln.SetUnlinkOnClose(false) // it may be a successor's by then
 	}
 	e.adminAddr.Store(ln.Addr().String())
 	mux := http.NewServeMux()
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -194,7 +194,7 @@
 	r := e.newRequest(c)
 	r.at, r.isHead, r.minor = e.l.Now(), h.IsHead(), h.Minor
 	c.cur = r
-	c.last = c.last || h.Close || e.draining
+	c.last = c.last || h.Close || e.draining && e.successor == nil
 	q, err := e.core.Classify("", r.at, h)
 	r.q = q
 	if err != nil {
@@ -494,6 +494,7 @@
 		c.paused = false
 		c.e.l.Arm(&c.idle, c.e.s.Limits.ShutdownLinger)
 		c.wants()
+	case !c.last && c.e.successor != nil && len(c.left) == 0 && c.pass():
 	case c.last || c.e.draining && len(c.left) == 0 || c.eof && len(c.left) == 0:
 		c.close()
 	default:
@@ -518,7 +519,12 @@
 // drain ends the connection when nothing is in hand.
 func (c *client) drain() {
 	if c.cur == nil && !c.reading && c.out.len() == 0 {
-		c.close()
+		if !c.pass() {
+			c.close()
+		}
+		return
+	}
+	if c.e.successor != nil { // it goes on there, behind what is in hand
 		return
 	}
 	c.last = true
@@ -570,13 +576,25 @@
 }
 
 func (c *client) close() {
-	if c.gone {
+	fd := c.fd
+	if !c.detach() {
 		return
 	}
+	unix.Close(fd)
+	if c.e.draining {
+		c.e.checkDrained()
+	}
+}
+
+// detach has the router know nothing of the connection any more; its descriptor is
+// the caller's. False: it did so before.
+func (c *client) detach() bool {
+	if c.gone {
+		return false
+	}
 	c.gone = true
 	c.e.l.Forget(&c.idle)
 	c.e.l.Remove(c.fd)
-	unix.Close(c.fd)
 	delete(c.e.clients, c)
 	g := c.e.guard
 	delete(g.slow, c)
@@ -588,9 +606,7 @@
 	c.book()
 	g.mem.Add(limits.Connections, -clientBytes)
 	c.out.drop(c.e)
-	if c.e.draining {
-		c.e.checkDrained()
-	}
+	return true
 }
 
 var (
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,7 @@
 	"indigospool/internal/config"
 	"indigospool/internal/core"
 	"indigospool/internal/fleet"
+	"indigospool/internal/handover"
 	"indigospool/internal/http1"
 	"indigospool/internal/journal"
 	"indigospool/internal/limits"
@@ -38,6 +40,7 @@
 	Accepted, Connections, Requests, Served, Refused, Failed, Malformed uint64
 	Gone, Broken, Attempts, Connects, Reused, Dropped                   uint64
 	InBytes, OutBytes, AcceptPauses, ConnectWaits                       uint64
+	HandedIn, HandedOut                                                 uint64 // connections, from a predecessor and to a successor
 	Held, Upstreams, MostHeld                                           int
 }
 
@@ -72,6 +75,13 @@
 	probed    func(spool.Probed) // also hears of probes, in tests
 	stopWatch func()
 	stopAdmin func()
+	adminFile *os.File // of its listener, for a successor
+
+	inherited *handover.Inherited // from a predecessor; nil: there was none
+	offered   *handover.Server
+	leaving   bool             // a successor has the memory, and does not serve yet
+	since     []core.PurgeNews // purges since then
+	successor *handover.Sender // it serves; nil: there is none
 	guard     *guard
 	journal   *journal.Writer // nil: none is kept
 	versions  *Versions
@@ -83,7 +93,9 @@
 }
 
 // New makes a router from checked settings; it listens, and serves once Run is called.
-func New(s *config.Settings, log *AccessLog) (*Edge, error) {
+func New(s *config.Settings, log *AccessLog) (*Edge, error) { return newEdge(s, log, nil) }
+
+func newEdge(s *config.Settings, log *AccessLog, in *handover.Inherited) (*Edge, error) {
 	c, err := core.New(s, uint64(s.Router.Seed))
 	if err != nil {
 		return nil, err
@@ -98,7 +110,10 @@
 	e.drainT.F = e.drained
 	e.guard = newGuard(e)
 	e.acceptT.F = func() { e.l.Want(e.lfd, loop.Read) }
-	if e.lfd, e.addr, err = listen(s.Router.Listen); err != nil {
+	e.inherited = in
+	var ok bool
+	if e.lfd, e.addr, ok = inherit(in, s.Router.Listen); ok {
+	} else if e.lfd, e.addr, err = listen(s.Router.Listen); err != nil {
 		return nil, fmt.Errorf("edge: listen %s: %w; is the address free, and one of this machine?", s.Router.Listen, err)
 	}
 	e.listener.e = e
@@ -116,7 +131,7 @@
 		return nil
 	}
 	w, err := journal.Open(r.Journal, journal.Options{Segment: int64(r.JournalPart), Total: int64(r.JournalTotal),
-		Queue: r.JournalQueue, Warn: func(text string) { e.log.Log.Warn(text) }})
+		Queue: r.JournalQueue, Skip: e.inherited != nil, Warn: func(text string) { e.log.Log.Warn(text) }})
 	if err != nil {
 		return err
 	}
@@ -180,7 +195,7 @@
 	}
 	e.l.After(e.guard.after)
 	e.l.Arm(&e.guard.sweepT, sweepEvery)
-	e.l.Post(e.begin)
+	e.l.Post(func() { e.remember(); e.begin() })
 	if e.s.Router.List != "" {
 		e.stopWatch = e.watch()
 	}
@@ -193,7 +208,18 @@
 		}
 		e.stopAdmin = stop
 	}
+	if err := errors.Join(e.offer(), e.serves()); err != nil {
+		e.l.Stop()
+		e.l.Run()
+		return err
+	}
 	err := e.l.Run()
+	if e.offered != nil {
+		e.offered.Close()
+	}
+	if e.successor != nil {
+		e.successor.Close()
+	}
 	if e.journal != nil {
 		if jerr := e.journal.Close(); jerr != nil {
 			e.log.Log.Error("journal", zap.Error(jerr))
@@ -246,20 +272,22 @@
 // limit: no connection is accepted any more, idle ones are closed, and answers
 // under way are finished. It may be called from any goroutine.
 func (e *Edge) Drain() {
-	e.l.Post(func() {
-		if e.draining {
-			return
-		}
-		e.draining = true
-		e.l.Remove(e.lfd)
-		unix.Close(e.lfd)
-		e.lfd = -1
-		e.l.Arm(&e.drainT, e.s.Limits.Drain)
-		for c := range e.clients {
-			c.drain()
-		}
-		e.checkDrained()
-	})
+	e.l.Post(e.drainNow)
+}
+
+func (e *Edge) drainNow() {
+	if e.draining {
+		return
+	}
+	e.draining = true
+	e.l.Remove(e.lfd)
+	unix.Close(e.lfd)
+	e.lfd = -1
+	e.l.Arm(&e.drainT, e.s.Limits.Drain)
+	for c := range e.clients {
+		c.drain()
+	}
+	e.checkDrained()
 }
 
 func (e *Edge) checkDrained() {
@@ -487,6 +515,9 @@
 			e.tell(ev)
 			e.leaveDrained()
 		case spool.Purge:
+			if e.leaving {
+				e.since = append(e.since, core.PurgeNews{Object: ev.Object, Group: ev.Group, AgeMs: ev.Age})
+			}
 			e.tell(ev)
 			e.recall(ev)
 		}
--- /dev/null
+++ b/internal/edge/handover.go
@@ -0,0 +1,230 @@
+package edge
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	spool "indigospool"
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+	"indigospool/internal/handover"
+	"indigospool/internal/loop"
+	"indigospool/internal/memory"
+)
+
+// TakeOver makes a router that takes over from the one that offers at the settings'
+// handover path, or an ordinary one where nobody does. What the predecessor has learned is
+// gone on from, unless it can't be read: then the router starts as new.
+func TakeOver(s *config.Settings, log *AccessLog) (*Edge, error) {
+	if s.Router.Handover == "" {
+		return New(s, log)
+	}
+	in, err := handover.Ask(s.Router.Handover)
+	if errors.Is(err, handover.ErrNobody) {
+		return New(s, log)
+	}
+	if err != nil {
+		return nil, err
+	}
+	e, err := newEdge(s, log, in)
+	if err != nil {
+		in.Abort()
+	}
+	return e, err
+}
+
+// inherit takes the listening socket of a predecessor, where it is at the address
+// that the settings name.
+func inherit(in *handover.Inherited, address string) (fd int, at string, ok bool) {
+	if in == nil || in.Listener == 0 {
+		return 0, "", false
+	}
+	sa, err := unix.Getsockname(in.Listener)
+	if err != nil {
+		return 0, "", false
+	}
+	port := 0
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		port = a.Port
+	case *unix.SockaddrInet6:
+		port = a.Port
+	}
+	at = net.JoinHostPort(addressOf(sa).String(), fmt.Sprint(port))
+	want, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil || want.Port != 0 && want.Port != port || len(want.IP) > 0 && !want.IP.Equal(net.IP(addressOf(sa).AsSlice())) {
+		return 0, "", false // it is told to listen elsewhere
+	}
+	fd, in.Listener = in.Listener, 0
+	unix.SetNonblock(fd, true) // whatever the giver's runtime has made of it
+	return fd, at, true
+}
+
+// remember goes on from the predecessor's memory, on the loop, before any news.
+func (e *Edge) remember() {
+	if e.inherited == nil || len(e.inherited.Memory) == 0 {
+		return
+	}
+	m, err := memory.Decode(e.inherited.Memory)
+	if err != nil {
+		e.log.Log.Warn("the predecessor's memory is not used: this router starts as new", zap.Error(err))
+		return
+	}
+	acts := e.core.Recall(e.l.Now(), m, nil)
+	for i := range acts {
+		e.carryOut(acts[i])
+	}
+	e.log.Log.Info("goes on from its predecessor", zap.Int("members", len(m.Members)), zap.Int("bytes", len(e.inherited.Memory)))
+}
+
+// serves tells the predecessor that this router serves, and takes its connections.
+func (e *Edge) serves() error {
+	if e.inherited == nil {
+		return nil
+	}
+	return e.inherited.Ready(func(fd int) {
+		for {
+			err := e.l.Post(func() {
+				sa, err := unix.Getpeername(fd)
+				if err != nil {
+					unix.Close(fd) // its client has gone meanwhile
+					return
+				}
+				unix.SetNonblock(fd, true)
+				e.stats.HandedIn++
+				e.adopt(fd, addressOf(sa), true)
+			})
+			switch err {
+			case nil:
+				return
+			case loop.ErrFull:
+				time.Sleep(time.Millisecond)
+			default:
+				unix.Close(fd)
+				return
+			}
+		}
+	}, func(note []byte) {
+		var p core.PurgeNews
+		if json.Unmarshal(note, &p) == nil {
+			e.Query(func(*Stats, *core.Core) { e.news(&core.News{Purge: &p}) })
+		}
+	}, func() { e.log.Log.Info("the predecessor has ended") })
+}
+
+// offer waits for a successor, from now on.
+func (e *Edge) offer() error {
+	path := e.s.Router.Handover
+	if path == "" {
+		return nil
+	}
+	srv, err := handover.Listen(handover.Offer{Path: path, Ready: time.Duration(e.s.Limits.Successor) * time.Millisecond,
+		Ask: func() (g *handover.Given, err error) {
+			qerr := e.l.Call(5*time.Second, func() { g, err = e.give() })
+			return g, errors.Join(qerr, err)
+		},
+		Go: func(to *handover.Sender) {
+			if e.l.Call(5*time.Second, func() { e.leaveTo(to) }) != nil {
+				to.Close()
+			}
+		},
+		Fail: func(error) {
+			e.l.Call(5*time.Second, func() {
+				e.leaving, e.since = false, nil
+				e.tell(spool.Retired{})
+			})
+		},
+		Warn: func(text string) { e.log.Log.Warn(text) }})
+	if err != nil {
+		return err
+	}
+	e.offered = srv
+	return nil
+}
+
+// give is what a successor gets first. From now on cold budgets are its to spend.
+func (e *Edge) give() (*handover.Given, error) {
+	if e.draining {
+		return nil, errors.New("this router drains already")
+	}
+	b, err := memory.Encode(e.core.Memory())
+	if err != nil {
+		return nil, err
+	}
+	e.leaving, e.since = true, nil
+	e.tell(spool.Retired{On: true})
+	g := &handover.Given{Listener: e.lfd, Memory: b}
+	if e.adminFile != nil {
+		g.Admin = int(e.adminFile.Fd())
+		unix.SetNonblock(g.Admin, true) // Fd has ended that, for the listener too
+	}
+	e.log.Log.Info("a successor takes over", zap.Int("bytes", len(b)))
+	return g, nil
+}
+
+// leaveTo drains for a successor that serves: nothing is accepted here any more, and
+// connections go to it, each once it is between requests.
+func (e *Edge) leaveTo(to *handover.Sender) {
+	if e.draining {
+		go to.Close()
+		return
+	}
+	for i := range e.since { // what was purged since the memory was taken
+		to.Note(&e.since[i])
+	}
+	e.leaving, e.since, e.successor = false, nil, to
+	if e.stopAdmin != nil {
+		go e.stopAdmin()
+		e.stopAdmin = nil
+	}
+	e.log.Log.Info("drains for its successor", zap.Int("connections", len(e.clients)))
+	e.drainNow()
+}
+
+// pass gives a connection between requests to the successor; false: it stays.
+func (c *client) pass() bool {
+	e := c.e
+	if e.successor == nil || c.gone || c.eof || c.linger || c.cur != nil || len(c.left) > 0 || c.out.len() > 0 {
+		return false
+	}
+	fd := c.fd
+	if !c.detach() {
+		return false
+	}
+	if !e.successor.Conn(fd) {
+		unix.Close(fd)
+	} else {
+		e.stats.HandedOut++
+	}
+	if e.draining {
+		e.checkDrained()
+	}
+	return true
+}
+
+// adminFrom is the listener that a predecessor's admin listener was, if it is the
+// one that the settings name.
+func adminFrom(in *handover.Inherited, address string) net.Listener {
+	if in == nil || in.Admin == 0 {
+		return nil
+	}
+	f := os.NewFile(uintptr(in.Admin), "admin")
+	in.Admin = 0
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil
+	}
+	if want, err := net.ResolveTCPAddr("tcp", address); err != nil || want.Port != 0 && want.Port != ln.Addr().(*net.TCPAddr).Port {
+		ln.Close()
+		return nil
+	}
+	return ln
+}
--- /dev/null
+++ b/internal/edge/handover_test.go
@@ -0,0 +1,311 @@
+package edge
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"indigospool/internal/config"
+	"indigospool/internal/core"
+	"indigospool/internal/handover"
+	"indigospool/internal/journal"
+	"indigospool/internal/replay"
+	"indigospool/internal/tap"
+)
+
+// relay is routers of a rig that take over from one another.
+type relay struct {
+	*rig
+	path    string
+	dir     string
+	s       *config.Settings
+	current *Edge
+	ended   chan error
+	up      int // that run
+}
+
+func newRelay(t *testing.T, boxes int, limits string) *relay {
+	dir := t.TempDir()
+	r := &relay{rig: newRig(t, boxes, limits), path: filepath.Join(dir, "handover"), dir: filepath.Join(dir, "journal")}
+	r.rig.stop() // the relay has its own routers
+	r.s = &config.Settings{}
+	text := strings.Replace(fmt.Sprintf(testRouter, r.list.Addr(), limits), "(zone z) (listen", fmt.Sprintf("(zone z) (handover %q) (journal %q) (listen", r.path, r.dir), 1)
+	if err := config.Read("relay.edn", text, r.s); err != nil {
+		t.Fatal(err)
+	}
+	r.ended = make(chan error, 100)
+	r.next()
+	t.Cleanup(func() {
+		r.current.Stop()
+		for r.up > 0 && r.wait() {
+		}
+	})
+	return r
+}
+
+// next starts a router, which takes over from the one there is.
+func (r *relay) next() *Edge {
+	r.t.Helper()
+	e, err := TakeOver(r.s, newAccessLog(lockedWriter{&r.logMu, r.log}, 10000, "info"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.up++
+	go func() { r.ended <- e.Run() }()
+	if err := e.Ready(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.current, r.rig.e = e, e
+	return e
+}
+
+func (r *relay) wait() bool {
+	select {
+	case err := <-r.ended:
+		r.up--
+		if err != nil {
+			r.t.Error(err)
+		}
+		return true
+	case <-time.After(8 * time.Second):
+		return false
+	}
+}
+
+// users asks along, on connections that are kept and on new ones, and counts what is
+// not a whole good answer.
+func (r *relay) users(n int, stop *atomic.Bool) (wait func() (asked, bad int64, first string)) {
+	var wg sync.WaitGroup
+	var asked, bad atomic.Int64
+	var first atomic.Value
+	address := r.current.Addr()
+	for u := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := &http.Client{Transport: &http.Transport{DisableKeepAlives: u%4 == 0}, Timeout: 5 * time.Second}
+			defer c.CloseIdleConnections()
+			for i := 0; !stop.Load(); i++ {
+				asked.Add(1)
+				what := ""
+				method, path := "GET", fmt.Sprintf("/s/%d/u%d", u, i%40)
+				if i%10 == 3 {
+					method, path = "POST", fmt.Sprintf("/o/%d-%d", u, i)
+				}
+				req, _ := http.NewRequest(method, "http://"+address+path, nil)
+				req.Header.Set("Idempotency-Key", fmt.Sprintf("%d-%d", u, i))
+				req.GetBody = nil
+				res, err := c.Do(req)
+				if err != nil {
+					what = err.Error()
+				} else {
+					_, rerr := io.Copy(io.Discard, res.Body)
+					res.Body.Close()
+					if rerr != nil || res.StatusCode != 200 {
+						what = fmt.Sprint(method, " ", path, ": ", res.Status, " ", rerr)
+					}
+				}
+				if what != "" {
+					bad.Add(1)
+					first.CompareAndSwap(nil, what)
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		}()
+	}
+	return func() (int64, int64, string) {
+		wg.Wait()
+		s, _ := first.Load().(string)
+		return asked.Load(), bad.Load(), s
+	}
+}
+
+// Ten routers one after the other, under load, with a purge in the middle of each
+// change: no connection is refused, no request lost, refused or run twice, and kept
+// connections go on at the successor.
+func TestTenRestarts(t *testing.T) {
+	r := newRelay(t, 3, "")
+	var stop atomic.Bool
+	wait := r.users(16, &stop)
+	handed := uint64(0)
+	for i := range 10 {
+		time.Sleep(60 * time.Millisecond)
+		old := r.current
+		purged := make(chan bool, 1)
+		go func() { // while it changes
+			path := fmt.Sprintf("/s/1/u%d", i)
+			made := r.origin.Purge(path, 0, 0)
+			r.list.Purge(path, 0, made)
+			for _, b := range r.boxes {
+				b.Purge(path, 0, made)
+			}
+			purged <- true
+		}()
+		r.next()
+		if !r.wait() {
+			t.Fatal("the predecessor does not end")
+		}
+		handed += old.stats.HandedOut // it has ended: nobody writes them
+		<-purged
+	}
+	stop.Store(true)
+	asked, bad, first := wait()
+	if bad > 0 || asked < 500 {
+		t.Errorf("%d of %d went wrong; the first: %s", bad, asked, first)
+	}
+	if handed < 20 {
+		t.Errorf("%d connections were passed on", handed)
+	}
+	ran := map[string]int{}
+	for _, x := range r.tap.Records() {
+		if x.Ev == tap.Ran {
+			if ran[x.Key]++; ran[x.Key] > 1 {
+				t.Errorf("%s ran %d times", x.Key, ran[x.Key])
+			}
+		}
+	}
+	r.current.Stop()
+	r.wait()
+	j, err := journal.OpenReader(r.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.Close()
+	rep, err := replay.Run(j, nil)
+	if err != nil || !rep.OK() || rep.Lives != 11 || len(rep.Gaps) > 0 {
+		t.Errorf("the journal over all of them: %v %+v %+v", err, rep, rep.First)
+	}
+}
+
+// A successor that goes before it serves changes nothing, and the next one takes over.
+func TestSuccessorFails(t *testing.T) {
+	r := newRelay(t, 2, "(successor 400)")
+	for _, how := range []string{"goes", "hangs"} {
+		in, err := handover.Ask(r.path)
+		if err != nil || in.Listener == 0 || len(in.Memory) == 0 {
+			t.Fatal(how, err)
+		}
+		if how == "goes" {
+			in.Abort()
+		}
+		for i := range 5 {
+			if res, _, err := r.get(fmt.Sprintf("/s/1/%s%d", how, i)); err != nil || res.StatusCode != 200 {
+				t.Fatal(how, res, err)
+			}
+		}
+		time.Sleep(600 * time.Millisecond)
+		in.Abort()
+		left := true
+		r.current.Query(func(*Stats, *core.Core) { left = r.current.leaving || r.current.draining })
+		if left {
+			t.Errorf("%s: the predecessor still thinks that it leaves", how)
+		}
+	}
+	old := r.current
+	if r.next(); !r.wait() {
+		t.Fatal("the predecessor does not end")
+	}
+	if old.Addr() != r.current.Addr() {
+		t.Errorf("%s became %s", old.Addr(), r.current.Addr())
+	}
+	if res, _, err := r.get("/s/1/after"); err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	}
+}
+
+// A memory that is damaged is not used, and the router starts as new, on the socket
+// that it was given.
+func TestDamagedMemory(t *testing.T) {
+	r := newRelay(t, 1, "")
+	r.current.Stop()
+	r.wait()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	served := make(chan *handover.Sender, 1)
+	srv, err := handover.Listen(handover.Offer{Path: r.path, Ready: 5 * time.Second,
+		Ask:  func() (*handover.Given, error) { return &handover.Given{Listener: int(f.Fd()), Memory: []byte("SPOOLM\x01\x00nonsense")}, nil },
+		Go:   func(s *handover.Sender) { served <- s },
+		Fail: func(err error) { t.Error(err) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Close()
+	r.next()
+	to := <-served
+	f.Close()
+	if r.current.Addr() != ln.Addr().String() {
+		t.Errorf("it listens at %s, given was %s", r.current.Addr(), ln.Addr())
+	}
+	for i := range 5 {
+		if res, _, err := r.get(fmt.Sprintf("/s/1/%d", i)); err != nil || res.StatusCode != 200 {
+			t.Fatal(res, err)
+		}
+	}
+	// a connection and a purge that the predecessor passes on
+	c, err := net.Dial("tcp4", r.current.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !to.Note(&core.PurgeNews{Object: "/s/1/0"}) || !to.Conn(pair[0]) {
+		t.Error("nothing can be passed on")
+	}
+	unix.Write(pair[1], []byte("GET /s/1/0 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+	answer, _ := io.ReadAll(os.NewFile(uintptr(pair[1]), "pair"))
+	if !strings.HasPrefix(string(answer), "HTTP/1.1 200") {
+		t.Errorf("a passed connection was answered %.60q", answer)
+	}
+	to.Close()
+	r.logMu.Lock()
+	defer r.logMu.Unlock()
+	if !strings.Contains(r.log.String(), "this router starts as new") {
+		t.Error("nothing is said of the memory")
+	}
+}
+
+// Nobody there, or the socket of one that was killed: the router starts as new.
+func TestNobodyToTakeOverFrom(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "h")
+	if _, err := handover.Ask(path); !errors.Is(err, handover.ErrNobody) {
+		t.Error(err)
+	}
+	ln, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.SetUnlinkOnClose(false)
+	ln.Close()
+	if _, err := handover.Ask(path); !errors.Is(err, handover.ErrNobody) {
+		t.Error(err)
+	}
+	srv, err := handover.Listen(handover.Offer{Path: path, Ready: time.Second, Ask: func() (*handover.Given, error) { return nil, errors.New("not now") }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Close()
+	if _, err := handover.Ask(path); err == nil || !strings.Contains(err.Error(), "not now") {
+		t.Error(err)
+	}
+}
--- a/internal/edge/versions.go
+++ b/internal/edge/versions.go
@@ -67,7 +67,7 @@
 // control services. end is called when the router has ended.
 func Open(ctx context.Context, s *config.Settings, log *AccessLog) (e *Edge, end func(), err error) {
 	if !s.Follows() {
-		e, err = New(s, log)
+		e, err = TakeOver(s, log)
 		return e, func() {}, err
 	}
 	v, err := Follow(s, log)
--- a/internal/journal/format.go
+++ b/internal/journal/format.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	spool "indigospool"
+	"indigospool/internal/memory"
 )
 
 // FormatVersion is the version of the format that is written. Readers read it
@@ -173,6 +174,8 @@
 	evTimer
 	evProbed
 	evMessage
+	evRecalled
+	evRetired
 )
 
 const (
@@ -296,6 +299,14 @@
 		In    float64
 		Token int64
 	}
+	fBytes struct {
+		_     struct{} `cbor:",toarray"`
+		Bytes []byte
+	}
+	fBool struct {
+		_  struct{} `cbor:",toarray"`
+		On bool
+	}
 	fNone struct {
 		_ struct{} `cbor:",toarray"`
 	}
@@ -328,6 +339,17 @@
 	case spool.Message:
 		return written{Kind: evMessage, Fields: &fMessage{From: e.From, Text: e.Text}}, nil
 	}
+	return n.handedOver(e)
+}
+
+func (n *names) handedOver(e spool.Event) (written, error) {
+	switch e := e.(type) {
+	case spool.Recalled:
+		b, err := memory.EncodeModule(e.Memory)
+		return written{Kind: evRecalled, Fields: &fBytes{Bytes: b}}, err
+	case spool.Retired:
+		return written{Kind: evRetired, Fields: &fBool{On: e.On}}, nil
+	}
 	return written{}, fmt.Errorf("%w of event: %T", ErrUnknown, e)
 }
 
@@ -500,6 +522,18 @@
 		out = spool.Probed{Cache: f.name(), OK: f.bool(), Load: f.floats()}
 	case evMessage:
 		out = spool.Message{From: int(f.int()), Text: f.text()}
+	case evRecalled:
+		b, ok := f.next().([]byte)
+		if !ok {
+			return nil, fmt.Errorf("journal: a recalled memory is no bytes")
+		}
+		m, err := memory.DecodeModule(b)
+		if err != nil {
+			return nil, fmt.Errorf("%w of event: %w", ErrUnknown, err)
+		}
+		out = spool.Recalled{Memory: m}
+	case evRetired:
+		out = spool.Retired{On: f.bool()}
 	default:
 		return nil, fmt.Errorf("%w of event: %d", ErrUnknown, e.Kind)
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -464,3 +464,58 @@
 		}
 	}
 }
+
+// A router that takes over writes behind numbers that it leaves free for the one
+// before, which goes on: their records are read one life after the other, with no gap.
+func TestTakeOver(t *testing.T) {
+	dir := t.TempDir()
+	old, err := Open(dir, Options{Segment: 4096})
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.Life(Life{Name: "r"})
+	next, err := Open(dir, Options{Segment: 4096, Skip: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Life(Life{Name: "r"})
+	memory := &spool.Memory{At: 3, Total: []float64{1, 2.5}, Purges: map[string]float64{"o": 2}}
+	next.Handled(3, spool.Recalled{Memory: memory}, nil)
+	for i := range 500 {
+		old.Handled(float64(i), spool.Request{ID: fmt.Sprint("old-", i)}, nil)
+		next.Handled(float64(i), spool.Request{ID: fmt.Sprint("next-", i)}, nil)
+	}
+	old.Handled(9, spool.Retired{On: true}, nil)
+	for _, w := range []*Writer{old, next} {
+		if err := w.Close(); err != nil || w.Lost() > 0 {
+			t.Fatal(err, w.Lost())
+		}
+	}
+	got, _ := read(t, dir)
+	if len(got) != 2+2+1000 {
+		t.Fatalf("%d records", len(got))
+	}
+	lives := 0
+	for _, e := range got {
+		switch ev := e.Event.(type) {
+		case spool.Request:
+			if strings.HasPrefix(ev.ID, "old-") != (lives == 1) {
+				t.Fatalf("%s in life %d", ev.ID, lives)
+			}
+		case spool.Recalled:
+			if !reflect.DeepEqual(ev.Memory, memory) {
+				t.Errorf("%+v", ev.Memory)
+			}
+		case spool.Retired:
+			if !ev.On || lives != 1 {
+				t.Error(ev, lives)
+			}
+		}
+		switch e.Kind {
+		case KindLife:
+			lives++
+		case KindGap:
+			t.Error(e.Why)
+		}
+	}
+}
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -41,6 +41,8 @@
 	index int64 // of the segment before; -1: none
 	count int64
 	gap   string // to be told before the next record
+	jump  string // the same, unless a life begins with it: numbers were left free there
+	held  *Entry // a record behind a jump
 	first bool
 	cut   string
 }
@@ -81,6 +83,10 @@
 // told as a gap, and reading goes on with the next segment, or behind a record of
 // an unknown kind. A version of the format that is not known is an error.
 func (r *Reader) Next() (*Entry, error) {
+	if e := r.held; e != nil {
+		r.held = nil
+		return e, nil
+	}
 	for {
 		if r.f == nil {
 			if len(r.files) == 0 {
@@ -120,6 +126,13 @@
 			return e, nil
 		}
 		if e != nil {
+			why := r.jump
+			if r.jump = ""; why != "" && e.Kind != KindLife {
+				r.held = e
+				gap := r.entry(KindGap)
+				gap.Why = why
+				return gap, nil
+			}
 			return e, nil
 		}
 	}
@@ -204,7 +217,7 @@
 			return nil, err
 		}
 		if r.index >= 0 && s.Index != r.index+1 {
-			r.gap = fmt.Sprintf("segments %d to %d are missing before %s", r.index+1, s.Index-1, filepath.Base(r.f.Name()))
+			r.jump = fmt.Sprintf("segments %d to %d are missing before %s", r.index+1, s.Index-1, filepath.Base(r.f.Name()))
 		}
 		r.index = s.Index
 		return nil, nil
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -22,6 +22,7 @@
 	Total   int64             // bytes of all: the oldest segments go; default 2 GB
 	Queue   int               // records that wait to be written; more are lost, and counted; default 65536
 	Warn    func(text string) // for the operator
+	Skip    bool              // leave numbers free: another process still writes behind what is there
 }
 
 // Writer writes a journal into a folder. Handled and Settings are called from
@@ -107,6 +108,9 @@
 	if n := len(list); n > 0 {
 		fmt.Sscanf(filepath.Base(list[n-1]), partOfName, &w.index)
 		w.index++
+		if o.Skip {
+			w.index = (w.index/skipped + 2) * skipped
+		}
 	}
 	if err := w.begin(); err != nil {
 		return nil, err
@@ -115,6 +119,9 @@
 	return w, nil
 }
 
+// skipped is how many numbers of segments are left free, from one to two times.
+const skipped = 1000
+
 // Segments are the files of a journal in their order.
 func Segments(dir string) ([]string, error) {
 	all, err := os.ReadDir(dir)
--- a/router.go
+++ b/router.go
@@ -123,6 +123,10 @@
 		} else {
 			r.groups[ev.Group] = max(r.groups[ev.Group], at)
 		}
+	case Recalled:
+		r.recall(ev.Memory)
+	case Retired:
+		r.retired = ev.On
 	case Resettled:
 		if ev.Settings.Valid() == nil {
 			ev.Settings.Zone, ev.Settings.Me = r.s.Zone, r.s.Me
@@ -648,6 +652,9 @@
 		base = max(base, coldSizeUse*m.Size/r.s.sharers(m.role))
 	}
 	rate := base * r.warmth(m)
+	if r.retired { // the budget is the successor's
+		rate = 0
+	}
 	m.tokens = min(m.tokens+rate*(r.now-m.topped), rate*max(r.s.FallTime, 500)*coldBurst)
 	m.topped = r.now
 }
--- a/state.go
+++ b/state.go
@@ -120,6 +120,7 @@
 	opened         Millis
 	layout, prior  layout // who holds what, and before the last change
 	moved          Millis // when that was
+	retired        bool // a successor spends the cold budgets
 	acts           []Action
 	looker         func(Look) // hears what choices look at; nil: nobody
 }
