spool-bench overload and flood; the limit falls as fast as the wait is long

An overload's curve and the memory under a flood could not be measured. overload finds a proxy's capacity by a closed loop and offers multiples of it, open-loop, with a plot; flood holds slow readers, slow askers and idle connections beside ordinary users and watches resident memory; the runtime is told of the memory budget.

--- a/cmd/spool-bench/main.go
+++ b/cmd/spool-bench/main.go
@@ -88,6 +88,93 @@
 		}}
 	mem.Flags().IntVar(&idle, "conns", 10000, "how many")
 	mem.Flags().StringSliceVar(&idlers, "proxies", []string{"spool", "reverseproxy", "fasthttp"}, "what to measure")
+	var overload bench.OverloadOptions
+	var against []string
+	var picture string
+	over := &cobra.Command{Use: "overload", Short: "Answers in time from half to four times what a proxy can do, open-loop", Args: cobra.NoArgs,
+		Example: "  spool-bench overload --plot overload.svg\n  spool-bench overload --kb 64 --factors 1,4 --span 3s",
+		RunE: func(c *cobra.Command, _ []string) error {
+			child, server, err := begin(c.Context())
+			if err != nil {
+				return err
+			}
+			defer server.Stop()
+			if !asJSON {
+				fmt.Printf("%-15s %7s %9s %9s %9s %9s %9s %9s %9s %9s\n", "proxy", "factor", "offered", "in time", "late", "refused", "broken", "p50 ms", "p99 ms", "behind ms")
+			}
+			var all []bench.Point
+			for _, p := range against {
+				m, err := bench.StartChild(c.Context(), child, p, server.Addr)
+				if err != nil {
+					return err
+				}
+				list, err := bench.Overload(c.Context(), m, p, overload, func(q bench.Point) {
+					if !asJSON {
+						fmt.Printf("%-15s %7.2f %9.0f %9.0f %9.0f %9.0f %9.0f %9.1f %9.1f %9.1f\n", q.Proxy, q.Factor, q.Offered, q.Goodput, q.Late, q.Refused, q.Broken, q.P50, q.P99, q.Behind)
+					}
+				})
+				m.Stop()
+				if err != nil {
+					return err
+				}
+				all = append(all, list...)
+			}
+			if picture != "" {
+				if err := bench.PlotOverload(all, picture); err != nil {
+					return err
+				}
+			}
+			if asJSON {
+				return json.NewEncoder(os.Stdout).Encode(all)
+			}
+			return nil
+		}}
+	over.Flags().IntVar(&overload.KB, "kb", 256, "size of the object")
+	over.Flags().Float64SliceVar(&overload.Factors, "factors", []float64{0.5, 0.8, 1, 1.5, 2, 3, 4}, "multiples of the capacity")
+	over.Flags().IntVar(&overload.Conns, "conns", 1500, "connections of the load")
+	over.Flags().DurationVar(&overload.Span, "span", 4*time.Second, "for how long, each, after a quarter of it to settle")
+	over.Flags().DurationVar(&overload.Patience, "patience", 500*time.Millisecond, "within which an answer is in time")
+	over.Flags().StringSliceVar(&against, "proxies", []string{"spool-overload", "reverseproxy"}, "what to measure")
+	over.Flags().StringVar(&picture, "plot", "", "file for the curve: svg, png or pdf")
+	over.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	var floodConns, budget int
+	var floodSpan time.Duration
+	flood := &cobra.Command{Use: "flood", Short: "Resident memory against the budget while slow clients hold connections", Args: cobra.NoArgs,
+		Example: "  spool-bench flood --conns 10000 --memory-mb 64 --span 5m",
+		RunE: func(c *cobra.Command, _ []string) error {
+			child, server, err := begin(c.Context())
+			if err != nil {
+				return err
+			}
+			defer server.Stop()
+			m, err := bench.StartChild(c.Context(), child, fmt.Sprintf("spool-flood-%d", budget), server.Addr)
+			if err != nil {
+				return err
+			}
+			defer m.Stop()
+			most := int64(0)
+			before, list, err := bench.Flood(c.Context(), m, floodConns, floodSpan, func(s bench.FloodSample) {
+				if most = max(most, s.RSSKB); s.Second%10 == 0 && !asJSON {
+					fmt.Printf("%4d s  %7d KB resident  %5d users served, %d not\n", s.Second, s.RSSKB, s.Good, s.Bad)
+				}
+			})
+			if err != nil {
+				return err
+			}
+			good, bad := int64(0), int64(0)
+			for _, s := range list {
+				good, bad = good+s.Good, bad+s.Bad
+			}
+			if asJSON {
+				return json.NewEncoder(os.Stdout).Encode(list)
+			}
+			fmt.Printf("budget %d MB: %.1f MB resident before, %.1f at most; %d users served, %d not\n", budget, float64(before)/1024, float64(most)/1024, good, bad)
+			return nil
+		}}
+	flood.Flags().IntVar(&floodConns, "conns", 10000, "connections: a third reads slowly, a third asks slowly, a third idles")
+	flood.Flags().IntVar(&budget, "memory-mb", 64, "the budget")
+	flood.Flags().DurationVar(&floodSpan, "span", time.Minute, "for how long")
+	flood.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	var fleets []int
 	var versions, rate, windows int
 	var perSecond float64
@@ -165,7 +252,7 @@
 			}
 			return bench.Child(args[0], args[1])
 		}}
-	root.AddCommand(run, mem, fleet, path, child)
+	root.AddCommand(over, flood, run, mem, fleet, path, child)
 	cli.Main(root)
 }
 
--- a/cmd/spool-router/main.go
+++ b/cmd/spool-router/main.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	cli.Steady()
+	cli.Steady(s.Limits.MemoryMB)
 	log, err := edge.NewAccessLog(s)
 	if err != nil {
 		return err
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -50,14 +51,16 @@
 	case "server":
 		return serveHeld()
 	case "spool":
-		return serveSpool(backend, "")
+		return serveSpool(backend, "", `(class c (deadline 6000))`, "")
 	case "spool-journal": // with a journal of its decisions
 		dir, err := os.MkdirTemp("", "spool-bench-")
 		if err != nil {
 			return err
 		}
 		defer os.RemoveAll(dir)
-		return serveSpool(backend, fmt.Sprintf("(journal %q)", dir))
+		return serveSpool(backend, fmt.Sprintf("(journal %q)", dir), `(class c (deadline 6000))`, "")
+	case "spool-overload": // clients here wait for half a second
+		return serveSpool(backend, "", `(class c (aim 250) (deadline 500))`, "")
 	case "control":
 		return serveControl(backend)
 	case "follower":
@@ -69,6 +72,9 @@
 	case "relay":
 		return serveRelay(backend)
 	}
+	if mb, ok := strings.CutPrefix(name, "spool-flood-"); ok {
+		return serveSpool(backend, "", `(class c (deadline 6000))`, fmt.Sprintf("(memory-mb %s) (head-grace 5000) (client-grace 10000)", mb))
+	}
 	return fmt.Errorf("bench: unknown proxy %q; known are %v", name, Proxies)
 }
 
@@ -105,15 +111,15 @@
 	return nil
 }
 
-func serveSpool(backend, more string) error {
+func serveSpool(backend, more, class, limits string) error {
 	text := fmt.Sprintf(`(router (zone z) (listen "127.0.0.1:0") (log none) %s)
-		(limits (upstream 4096) (connections-per-address 20000)) (fill (flow 1000)) (class c (deadline 6000)) (route "/s/{group}/{object}" (class c))
-		(member b (zone z) (address %q))`, more, backend)
+		(limits (upstream 4096) (connections-per-address 20000) %s) (fill (flow 1000)) %s (route "/s/{group}/{object}" (class c))
+		(member b (zone z) (address %q))`, more, limits, class, backend)
 	var s config.Settings
 	if err := config.Read("bench", text, &s); err != nil {
 		return err
 	}
-	cli.Steady() // as spool-router serve does
+	cli.Steady(s.Limits.MemoryMB) // as spool-router serve does
 	log, err := edge.NewAccessLog(&s)
 	if err != nil {
 		return err
@@ -133,6 +139,7 @@
 		return err
 	}
 	p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: backend})
+	p.ErrorLog = log.New(io.Discard, "", 0)
 	p.Transport = &http.Transport{MaxIdleConnsPerHost: 4096, MaxIdleConns: 4096, DisableCompression: true}
 	fmt.Println(ln.Addr())
 	go http.Serve(ln, p)
--- /dev/null
+++ b/internal/bench/overload.go
@@ -0,0 +1,325 @@
+package bench
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Point is a proxy under an open-loop load of a multiple of what it can do.
+type Point struct {
+	Proxy    string  `json:"proxy"`
+	Factor   float64 `json:"factor"`
+	Offered  float64 `json:"offered"`   // requests a second
+	Goodput  float64 `json:"goodput"`   // whole answers within the patience, a second
+	Late     float64 `json:"late"`      // whole answers after it
+	Refused  float64 `json:"refused"`   // 503
+	Broken   float64 `json:"broken"`    // none, or not whole, within twice the patience
+	P50      float64 `json:"p50_ms"`    // of good answers, from when they were due
+	P99      float64 `json:"p99_ms"`    // of them
+	Behind   float64 `json:"behind_ms"` // most by which the load itself was late to ask
+	Capacity float64 `json:"capacity"`  // requests a second of a closed loop: factor 1
+}
+
+// OverloadOptions are how a curve is measured.
+type OverloadOptions struct {
+	KB       int
+	Factors  []float64
+	Conns    int // of the load; a request that finds none free waits for one
+	Span     time.Duration
+	Patience time.Duration
+}
+
+// Overload measures a proxy's capacity by a closed loop, and then what it does under
+// multiples of it, open-loop.
+func Overload(ctx context.Context, m *Machine, proxy string, o OverloadOptions, say func(Point)) ([]Point, error) {
+	calm, err := Load(ctx, m, proxy, o.KB, 64, o.Span)
+	if err != nil {
+		return nil, err
+	}
+	var out []Point
+	for _, f := range o.Factors {
+		p, err := openLoop(ctx, m.Addr, o, f*calm.PerSecond)
+		if err != nil {
+			return out, err
+		}
+		p.Proxy, p.Factor, p.Capacity = proxy, f, calm.PerSecond
+		out = append(out, p)
+		say(p)
+		time.Sleep(500 * time.Millisecond)
+	}
+	return out, nil
+}
+
+func openLoop(ctx context.Context, addr string, o OverloadOptions, rate float64) (Point, error) {
+	p := Point{Offered: rate}
+	req := []byte(fmt.Sprintf("GET /s/0/%d HTTP/1.1\r\nHost: bench\r\n\r\n", o.KB))
+	warm := o.Span / 4
+	total := int64(rate * (o.Span + warm).Seconds())
+	var next, good, late, refused, broken atomic.Int64
+	var behind atomic.Int64
+	var mu sync.Mutex
+	var times []float64
+	var wg sync.WaitGroup
+	begin := time.Now().Add(100 * time.Millisecond)
+	var dialErr atomic.Value
+	for range o.Conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var c net.Conn
+			var br *bufio.Reader
+			defer func() {
+				if c != nil {
+					c.Close()
+				}
+			}()
+			var own []float64
+			for ctx.Err() == nil {
+				n := next.Add(1) - 1
+				if n >= total {
+					break
+				}
+				due := begin.Add(time.Duration(float64(n) / rate * float64(time.Second)))
+				if d := time.Until(due); d > 0 {
+					time.Sleep(d)
+				}
+				counts := due.Sub(begin) >= warm
+				if late := time.Since(due).Microseconds(); counts && late > behind.Load() {
+					behind.Store(late)
+				}
+				if time.Since(due) > 2*o.Patience { // its user has gone before it could be asked
+					if counts {
+						broken.Add(1)
+					}
+					continue
+				}
+				if c == nil {
+					var err error
+					if c, err = net.Dial("tcp4", addr); err != nil {
+						dialErr.CompareAndSwap(nil, err)
+						if c = nil; counts {
+							broken.Add(1)
+						}
+						continue
+					}
+					br = newReader(c)
+				}
+				c.SetDeadline(due.Add(2 * o.Patience))
+				status := 0
+				_, err := c.Write(req)
+				if err == nil {
+					status, err = anyAnswer(br)
+				}
+				took := time.Since(due)
+				if err != nil {
+					c.Close()
+					c = nil
+				}
+				if !counts {
+					continue
+				}
+				switch {
+				case err != nil:
+					broken.Add(1)
+				case status == 503:
+					refused.Add(1)
+				case status != 200:
+					broken.Add(1)
+				case took > o.Patience:
+					late.Add(1)
+				default:
+					good.Add(1)
+					own = append(own, float64(took.Microseconds())/1000)
+				}
+			}
+			mu.Lock()
+			times = append(times, own...)
+			mu.Unlock()
+		}()
+	}
+	wg.Wait()
+	s := o.Span.Seconds()
+	p.Goodput, p.Late, p.Refused, p.Broken = float64(good.Load())/s, float64(late.Load())/s, float64(refused.Load())/s, float64(broken.Load())/s
+	p.Behind = float64(behind.Load()) / 1000
+	if sort.Float64s(times); len(times) > 0 {
+		p.P50, p.P99 = times[len(times)/2], times[len(times)*99/100]
+	}
+	if err, _ := dialErr.Load().(error); err != nil && good.Load() == 0 {
+		return p, err
+	}
+	return p, ctx.Err()
+}
+
+// anyAnswer reads an answer with a stated length, whatever its status.
+func anyAnswer(br *bufio.Reader) (status int, err error) {
+	length := int64(-1)
+	for first := true; ; first = false {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			return 0, err
+		}
+		text := strings.TrimRight(string(line), "\r\n")
+		switch {
+		case first:
+			if _, err := fmt.Sscanf(text, "HTTP/1.1 %d", &status); err != nil {
+				return 0, fmt.Errorf("bench: %q is no status line", text)
+			}
+		case text == "":
+			if length < 0 {
+				return status, errors.New("bench: an answer without a length")
+			}
+			_, err := io.CopyN(io.Discard, br, length)
+			return status, err
+		case len(text) > 15 && strings.EqualFold(text[:15], "content-length:"):
+			fmt.Sscanf(strings.TrimSpace(text[15:]), "%d", &length)
+		}
+	}
+}
+
+// PlotOverload draws goodput over offered load, both in multiples of the capacity.
+func PlotOverload(points []Point, file string) error {
+	p := plot.New()
+	p.Title.Text = "Answers in time under overload"
+	p.X.Label.Text, p.Y.Label.Text = "offered load / capacity", "answers in time / capacity"
+	p.Y.Min = 0
+	p.Legend.Top = false
+	lines := map[string]plotter.XYs{}
+	var order []string
+	for _, q := range points {
+		if lines[q.Proxy] == nil {
+			order = append(order, q.Proxy)
+		}
+		lines[q.Proxy] = append(lines[q.Proxy], plotter.XY{X: q.Factor, Y: q.Goodput / q.Capacity})
+	}
+	var args []any
+	for _, name := range order {
+		args = append(args, name, lines[name])
+	}
+	if err := plotutil.AddLinePoints(p, args...); err != nil {
+		return fmt.Errorf("bench: %w", err)
+	}
+	if err := p.Save(18*vg.Centimeter, 12*vg.Centimeter, file); err != nil {
+		return fmt.Errorf("bench: %w", err)
+	}
+	return nil
+}
+
+// FloodSample is a second of a flood.
+type FloodSample struct {
+	Second int   `json:"second"`
+	RSSKB  int64 `json:"rss_kb"`
+	Good   int64 `json:"good"` // of the users beside it
+	Bad    int64 `json:"bad"`
+}
+
+// Flood holds connections that read large answers slowly, send requests a byte at a
+// time, or do nothing, and has a few ordinary users beside them. Each second it looks
+// at the resident memory of the machine.
+func Flood(ctx context.Context, m *Machine, conns int, span time.Duration, say func(FloodSample)) (before int64, list []FloodSample, err error) {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < uint64(conns)+500 {
+		limit.Cur = min(limit.Max, uint64(conns)+1000)
+		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
+	}
+	if _, before, err = m.cpu(); err != nil {
+		return 0, nil, err
+	}
+	ctx, stop := context.WithTimeout(ctx, span)
+	defer stop()
+	var wg sync.WaitGroup
+	attack := func(kind int) {
+		defer wg.Done()
+		for ctx.Err() == nil {
+			c, err := net.DialTimeout("tcp4", m.Addr, 2*time.Second)
+			if err != nil {
+				time.Sleep(200 * time.Millisecond)
+				continue
+			}
+			c.(*net.TCPConn).SetReadBuffer(4096)
+			switch kind {
+			case 0: // reads nothing of much that it asks for
+				for range 20 {
+					c.Write([]byte("GET /s/0/1024 HTTP/1.1\r\nHost: x\r\n\r\n"))
+				}
+			case 1:
+				c.Write([]byte("GET /s/0/1 HT"))
+			}
+			one := make([]byte, 1)
+			for ctx.Err() == nil {
+				time.Sleep(time.Second)
+				if kind == 1 {
+					if _, err := c.Write([]byte("x")); err != nil {
+						break
+					}
+				}
+				c.SetReadDeadline(time.Now().Add(time.Millisecond))
+				if _, err := c.Read(one); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+					break // it was cut: come again
+				}
+			}
+			c.Close()
+		}
+	}
+	for i := range conns {
+		wg.Add(1)
+		go attack(i % 3)
+	}
+	var good, bad atomic.Int64
+	for range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for ctx.Err() == nil {
+				c, err := net.DialTimeout("tcp4", m.Addr, time.Second)
+				if err == nil {
+					c.SetDeadline(time.Now().Add(2 * time.Second))
+					status := 0
+					if _, err = c.Write([]byte("GET /s/0/4 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")); err == nil {
+						status, err = anyAnswer(newReader(c))
+					}
+					if err == nil && status != 200 {
+						err = errors.New("refused")
+					}
+					c.Close()
+				}
+				if err != nil {
+					bad.Add(1)
+				} else {
+					good.Add(1)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+	}
+	for s := 0; ctx.Err() == nil; s++ {
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+		_, rss, err := m.cpu()
+		if err != nil {
+			return before, list, err
+		}
+		one := FloodSample{s, rss, good.Swap(0), bad.Swap(0)}
+		list = append(list, one)
+		say(one)
+	}
+	wg.Wait()
+	return before, list, nil
+}
--- a/internal/limits/admission.go
+++ b/internal/limits/admission.go
@@ -12,8 +12,8 @@
 // Admission is a limit on the requests in hand that adapts to how long the router
 // itself keeps ready bytes waiting. As in CoDel (RFC 8289) it is the least wait over
 // an interval that counts: a burst is no overload, a queue that never empties is.
-// While it is above the target the limit falls by a tenth an interval, towards what is
-// in hand; else, where the limit is in use, it grows by a tenth of its root an
+// While it is above the target the limit falls with the target's part of the wait, by a
+// tenth to a half an interval, from what is in hand; else, where the limit is in use, it grows by a tenth of its root an
 // interval and more.
 type Admission struct {
 	s     AdmissionSettings
@@ -50,7 +50,7 @@
 		a.over = a.least > a.s.Target
 		switch used := float64(a.most); {
 		case a.over:
-			a.limit = max(min(a.limit, used)*0.9, float64(a.s.Least))
+			a.limit = max(min(a.limit, used)*min(max(a.s.Target/a.least, 0.5), 0.9), float64(a.s.Least))
 		case used >= 0.8*a.limit:
 			a.limit = min(a.limit*1.05+1, float64(a.s.Most))
 		}
