Slow clients keep no place from others: the module hears that an answer waits

A flood of slow readers served nobody else, with the loop idle: a hundred answers that waited for their clients filled the module's gate of the cache, and then made it look silent, so that stills were refused after their 3 s. The edge tells the module after 250 ms (Stalled), which takes such an answer out of what the cache and the link hold, out of what is overdue and out of what it learns of times, and back when it goes on. A member's pool that is full has its longest stuck connection give way.

--- a/api.go
+++ b/api.go
@@ -191,6 +191,14 @@
 	Attempt   int
 }
 
+// Stalled says that an answer that has begun waits for its client (On), and for no
+// member, or (not On) goes on again.
+type Stalled struct {
+	ID      string
+	Attempt int
+	On      bool
+}
+
 // Gone says that the client has left.
 type Gone struct{ ID string }
 
@@ -227,6 +235,7 @@
 func (Outcome) event()   {}
 func (Started) event()   {}
 func (Gone) event()      {}
+func (Stalled) event()   {}
 func (Purge) event()     {}
 func (Timer) event()     {}
 func (Probed) event()    {}
--- a/cmd/spool-day/main.go
+++ b/cmd/spool-day/main.go
@@ -62,6 +62,7 @@
 	run.Flags().Float64Var(&o.Length, "length", 0, "length in ms, instead of the day's; troubles move with it")
 	run.Flags().StringVar(&o.Dir, "dir", "", "folder for the routers' settings and logs (default: temporary, kept only if a rule broke)")
 	run.Flags().BoolVar(&o.Journal, "journal", false, "have the routers keep journals of their decisions, and replay them")
+	run.Flags().StringSliceVar(&o.Without, "without", nil, "kinds of troubles to leave out, to play the same day without them")
 	run.Flags().StringVar(&tapFile, "tap", "", "file for the record of what passed on the sockets")
 	run.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
 	run.Flags().BoolVarP(&quiet, "quiet", "q", false, "say nothing while it runs")
--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -196,10 +196,21 @@
 	return r.addr != ""
 }
 
+// where is its present address, empty while it is down.
+func (r *routerAt) where() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.addr
+}
+
 // moved tells clients where the router is now; empty: it is down.
 func (r *routerAt) moved(addr, admin string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if addr != "" && addr == r.addr { // a successor has its sockets, and the connections
+		r.admin = admin
+		return
+	}
 	r.addr, r.admin = addr, admin
 	r.life++
 	for _, c := range r.idle {
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -35,6 +35,7 @@
 	Say     io.Writer // what happens, as it happens; nil: nowhere
 	Routers int       // above 0: instead of the day's
 	Seed    int       // above 0: instead of the day's
+	Without []string  // kinds of troubles that are left out
 	Journal bool      // routers keep journals, which are replayed after the day
 	Length  float64   // above 0: instead of the day's; troubles move with it
 }
@@ -159,6 +160,7 @@
 	if o.Seed > 0 {
 		s.Day.Seed = o.Seed
 	}
+	s.Troubles = slices.DeleteFunc(s.Troubles, func(t Trouble) bool { return contains(o.Without, t.Kind) })
 	if o.Length > 0 && o.Length != s.Day.Length {
 		f := o.Length / s.Day.Length
 		for i := range s.Troubles {
@@ -341,6 +343,9 @@
 		list = ""
 	}
 	c := d.s.Settings(name, zone, me, list)
+	if d.s.restarts() {
+		c.Router.Handover = d.handoverOf(name)
+	}
 	if d.o.Journal {
 		c.Router.Journal = journalOf(d.dir, name)
 	}
@@ -527,7 +532,9 @@
 	case contains(controlKinds, t.Kind):
 	case t.Kind == OriginSlow || t.Origin:
 		met = append(met, "origin")
-	case t.Kind == RouterKill:
+	case t.Kind == SlowReaders || t.Kind == SlowAskers:
+		met = append(met, fmt.Sprint(t.Clients, " clients"))
+	case t.Kind == RouterKill || t.Kind == RouterRestart:
 		for _, i := range rng.Perm(len(d.routers))[:t.Routers] {
 			met = append(met, d.routers[i].at.name)
 		}
@@ -576,6 +583,10 @@
 			sleep(ctx, t.For)
 			return d.startMachine(ctx, m, true)
 		})
+	case SlowReaders, SlowAskers:
+		return d.sluggish(ctx, t)
+	case RouterRestart:
+		return d.restartAll(ctx, met)
 	case RouterKill:
 		var wg sync.WaitGroup
 		for _, name := range met {
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -118,6 +118,8 @@
 	Factor  float64 `edn:"factor" def:"4" min:"1"`   // of slow and ageing
 	Every   float64 `edn:"every" def:"1000" min:"1"` // of pauses
 	Length  float64 `edn:"length" def:"200" min:"1"`
+	Clients int     `edn:"clients" min:"0"`           // of slow-readers and slow-askers
+	Rate    float64 `edn:"rate" def:"1" min:"0.01"`   // KB a second that slow-readers take
 	Notice  float64 `edn:"notice" def:"1500" min:"0"` // of preempt: from the drain to the end
 }
 
@@ -137,7 +139,7 @@
 	ListDown   = "list-down"
 )
 
-var ownKinds = []string{Crash, Drain, Preempt, ZoneLoss, RouterKill, Flush, HotKey, Scan, OriginSlow, ListCut, ListBack, ListDown}
+var ownKinds = []string{SlowReaders, SlowAskers, RouterRestart, Crash, Drain, Preempt, ZoneLoss, RouterKill, Flush, HotKey, Scan, OriginSlow, ListCut, ListBack, ListDown}
 
 // Check tells what contradicts itself.
 func (s *Script) Check(f *config.Faults) {
@@ -196,8 +198,14 @@
 				add(t.Place.Pos, "trouble", t.Kind+" meets nobody", "add (boxes n), (parents n) or (origin)")
 			}
 		}
-		if t.Kind == RouterKill && t.Routers == 0 {
-			add(t.Place.Pos, "trouble", "router-kill meets nobody", "add (routers n)")
+		if (t.Kind == RouterKill || t.Kind == RouterRestart) && t.Routers == 0 {
+			add(t.Place.Pos, "trouble", t.Kind+" meets nobody", "add (routers n)")
+		}
+		if t.Kind == RouterRestart && s.Control.On {
+			add(t.Place.Pos, "trouble", "router-restart with a control service: the store of versions is open in one process only", "leave out one of the two")
+		}
+		if (t.Kind == SlowReaders || t.Kind == SlowAskers) && t.Clients == 0 {
+			add(t.Place.Pos, "trouble", t.Kind+" has no clients", "add (clients n)")
 		}
 		if contains([]string{Flush, HotKey, Scan}, t.Kind) && t.Share == 0 {
 			add(t.Place.Pos, "trouble", t.Kind+" has no share", "add (share x), from 0 to 1")
--- /dev/null
+++ b/internal/day/sluggish.go
@@ -0,0 +1,130 @@
+package day
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"indigospool/internal/tap"
+)
+
+// Clients that make trouble. They are nobody's users: what becomes of them is not
+// counted, and they stand in no tap; what they have routers do at members does.
+const (
+	SlowReaders = "slow-readers" // ask for much, and read (rate n) KB a second of it
+	SlowAskers  = "slow-askers"  // send their requests a byte a second
+)
+
+// RouterRestart has new processes take over from routers, one after the other.
+const RouterRestart = "router-restart"
+
+// restarts reports whether routers are restarted: only then they have sockets for it.
+func (s *Script) restarts() bool {
+	for _, t := range s.Troubles {
+		if t.Kind == RouterRestart {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Day) handoverOf(router string) string { return filepath.Join(d.dir, router+".handover") }
+
+// restart starts a process that takes over from a router's, and waits until that one
+// has ended by itself.
+func (d *Day) restart(ctx context.Context, r *router) error {
+	old := r.proc
+	if err := d.startRouter(ctx, r); err != nil {
+		return err
+	}
+	select {
+	case <-old.done:
+		return nil
+	case <-time.After(time.Duration(d.s.Limits.Drain+5000) * time.Millisecond):
+		old.kill()
+		return fmt.Errorf("day: %s did not end after its successor took over", r.at.name)
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// sluggish holds a trouble's clients at the routers, until its end. Who is cut off
+// comes again after a second.
+func (d *Day) sluggish(ctx context.Context, t Trouble) error {
+	ctx, stop := context.WithTimeout(ctx, time.Duration(t.For*float64(time.Millisecond)))
+	defer stop()
+	big := d.s.Classes[0]
+	for _, k := range d.s.Classes {
+		if !k.Write && k.KB > big.KB {
+			big = k
+		}
+	}
+	var routers []*routerAt
+	d.mu.Lock()
+	for _, r := range d.routers {
+		routers = append(routers, r.at)
+	}
+	d.mu.Unlock()
+	var wg sync.WaitGroup
+	for i := range t.Clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; sleep(ctx, 1000*float64(min(n, 1))); n++ {
+				c, err := net.DialTimeout("tcp4", routers[i%len(routers)].where(), time.Second)
+				if err != nil {
+					continue
+				}
+				c.(*net.TCPConn).SetReadBuffer(8 << 10)
+				path := fmt.Sprintf("/%s/%d/slow%d", big.Name, i%d.s.Day.Groups, i%8)
+				if big.Parts > 0 {
+					path += "/0"
+				}
+				if t.Kind == SlowReaders {
+					for range 10 {
+						fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: slow\r\n\r\n", path)
+					}
+					buf := make([]byte, max(int(t.Rate*1024/4), 1))
+					for sleep(ctx, 250) {
+						c.SetReadDeadline(time.Now().Add(5 * time.Second))
+						if _, err := io.ReadFull(c, buf); err != nil {
+							break
+						}
+					}
+				} else {
+					for k := 0; sleep(ctx, 1000); k++ {
+						if _, err := c.Write([]byte("GET /x HTTP/1.1\r\nHost: slow\r\nX: y\r\n"[k%33 : k%33+1])); err != nil {
+							break
+						}
+						c.SetReadDeadline(time.Now().Add(time.Millisecond))
+						if n, _ := c.Read(make([]byte, 64)); n > 0 {
+							break
+						}
+					}
+				}
+				c.Close()
+			}
+		}()
+	}
+	wg.Wait()
+	return nil
+}
+
+// restartAll restarts the routers that a trouble meets.
+func (d *Day) restartAll(ctx context.Context, met []string) error {
+	for _, name := range met {
+		for _, r := range d.routers {
+			if r.at.name == name {
+				d.tap.Add(tap.Record{Ev: tap.Fault, Note: "restart of " + name})
+				if err := d.restart(ctx, r); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
--- a/internal/drift/drift.go
+++ b/internal/drift/drift.go
@@ -275,6 +275,10 @@
 				return err
 			}
 		case journal.KindHandled:
+			switch e.Event.(type) {
+			case spool.Recalled, spool.Retired, spool.Stalled: // nor that one router goes on from another, or that a client is slow
+				wired = false
+			}
 			if !wired {
 				r.Unwired++
 				continue
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -354,6 +354,9 @@
 	c.idle.F = c.onIdle
 	if cause == limits.None {
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		if n := e.s.Limits.SocketKB; n > 0 {
+			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, n*1024/2) // the kernel doubles it
+		}
 		if err := e.l.Add(fd, loop.Read, c); err != nil {
 			cause = limits.Descriptors
 		}
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -34,6 +34,8 @@
 	addresses map[netip.Addr]int   // connections of clients
 	idle      idleList
 	found     []*upstream // in a sweep
+	stuck     []*upstream // in a sweep: their clients hold them up
+	back      []*client   // not read for now
 	sweepT    loop.Timer
 	retryT    loop.Timer // attempts that wait for a descriptor
 	most      int        // connections that there are descriptors for
@@ -47,7 +49,8 @@
 }
 
 const (
-	sweepEvery = 250 // ms between looks at slow peers
+	stuckFor   = 1000 // ms
+	sweepEvery = 250  // ms between looks at slow peers
 	// memory that is booked for what is not a buffer, in bytes, measured as by
 	// spool-bench idle: descriptions, their places in tables, and timers
 	clientBytes   = 1 << 10
@@ -138,6 +141,9 @@
 		}
 	}
 	g.adm.Turn(e.l.Now(), len(e.reqs))
+	if len(g.back) > 0 {
+		g.letIn(e.l.Now())
+	}
 	if g.mem.Full() {
 		g.shed()
 	}
@@ -168,6 +174,46 @@
 // ordinary is not theirs.
 func (g *guard) now() float64 { return g.e.l.Now() - g.e.l.Slow() }
 
+// freePlace has a member's connection that waits for its client longest give its place
+// to an attempt that finds none, once that has been so for stuckFor.
+func (g *guard) freePlace(p *pool) {
+	var top *upstream
+	for u := range p.all {
+		if u.held && u.t != nil && g.e.l.Now()-u.heldAt >= stuckFor && (top == nil || u.heldAt < top.heldAt) {
+			top = u
+		}
+	}
+	if top != nil {
+		g.counts[limits.SlowReader]++
+		top.t.r.c.cutSlow(limits.SlowReader)
+	}
+}
+
+// holdBack leaves what a client sends unread for as long as it is to stay away: in an
+// overload reading and turning away is what the router must not be busy with.
+func (g *guard) holdBack(c *client) {
+	c.paused = true
+	c.wants()
+	g.back = append(g.back, c)
+}
+
+// letIn reads on from those whose time has come. All are held for equally long, so
+// they stand in the order of it.
+func (g *guard) letIn(now float64) {
+	n := 0
+	for n < len(g.back) && (g.back[n].until <= now || g.back[n].gone) {
+		if c := g.back[n]; !c.gone {
+			c.paused = false
+			c.wants()
+		}
+		g.back[n] = nil
+		n++
+	}
+	if n > 0 {
+		g.back = append(g.back[:0], g.back[n:]...)
+	}
+}
+
 // sweep looks at those that are waited for.
 func (g *guard) sweep() {
 	e, now := g.e, g.now()
@@ -186,12 +232,21 @@
 	g.found = g.found[:0]
 	for _, p := range e.pools {
 		for u := range p.all {
+			if u.held && !u.told && e.l.Now()-u.heldAt >= sweepEvery {
+				g.stuck = append(g.stuck, u)
+			}
 			if u.state == upBody && u.flow.Waiting() && u.flow.Slow(now, &g.member) {
 				g.found = append(g.found, u)
 				g.jury.Slow(p.member, now)
 			}
 		}
 	}
+	for i, u := range g.stuck {
+		if g.stuck[i] = nil; u.held {
+			u.stalled(true)
+		}
+	}
+	g.stuck = g.stuck[:0]
 	for i, u := range g.found {
 		if g.found[i] = nil; u.fd >= 0 && u.state == upBody && g.jury.Cut(u.p.member, now) {
 			g.counts[limits.SlowMember]++
--- a/internal/edge/guard_test.go
+++ b/internal/edge/guard_test.go
@@ -341,3 +341,34 @@
 		t.Errorf("%d of 12 repeats were turned away", repeats)
 	}
 }
+
+// A hundred clients that take nothing of large footage keep no place from others: the
+// module hears that these answers wait for their clients, and the same caches, pools
+// and links serve stills as ever.
+func TestStillsBehindStuckFootage(t *testing.T) {
+	had := testClasses[1].KB
+	testClasses[1].KB = 3000
+	defer func() { testClasses[1].KB = had }()
+	r := newRig(t, 1, "(client-grace 30000)")
+	calm, _ := r.stills(50)
+	for i := range 100 {
+		c := r.dial()
+		c.(*net.TCPConn).SetReadBuffer(4096)
+		fmt.Fprintf(c, "GET /v/1/big%d/0 HTTP/1.1\r\nHost: h\r\n\r\n", i%5)
+	}
+	r.waitFor("the answers that wait", func(*Stats, *core.Core) bool {
+		told := 0
+		for _, p := range r.e.pools {
+			for u := range p.all {
+				if u.told {
+					told++
+				}
+			}
+		}
+		return told == 100
+	})
+	ms, bad := r.stills(100)
+	if bad > 0 || ms[len(ms)/2] > 5*calm[len(calm)/2]+20 {
+		t.Errorf("%d went wrong; p50 %.1f ms, %.1f ms before", bad, ms[len(ms)/2], calm[len(calm)/2])
+	}
+}
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -148,6 +148,7 @@
 		return
 	}
 	if len(p.all) >= p.e.s.Limits.Upstream {
+		p.e.guard.freePlace(p)
 		if u := p.shortest(t); u != nil {
 			u.follow(t)
 		} else {
@@ -246,6 +247,8 @@
 	drain  int
 	note   spool.Note
 	flow   limits.Flow // of an answer's body
+	heldAt float64     // since when the client holds it up
+	told   bool        // the module knows that
 	queued bool        // bytes have come, and wait for their turn
 	since  float64     // when it was queued
 }
@@ -255,6 +258,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n := p.e.s.Limits.SocketKB; n > 0 {
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, n*1024/2)
+	}
 	u := &upstream{e: p.e, p: p, fd: fd, state: upConnecting}
 	u.timer.F = u.onTimer
 	want := loop.Write
@@ -312,7 +318,7 @@
 
 // begin gives the connection an attempt; it is written once connected.
 func (u *upstream) begin(t *try) {
-	u.t, t.u = t, u
+	u.t, t.u, u.told = t, u, false
 	if u.state == upConnecting {
 		u.e.l.Arm(&u.timer, u.e.s.Limits.Connect)
 		return
@@ -533,7 +539,7 @@
 		return
 	}
 	u.e.l.Disarm(&u.timer)
-	u.t, u.state = u.line[0], upHead
+	u.t, u.state, u.told = u.line[0], upHead, false
 	if u.line = u.line[1:]; len(u.line) == 0 {
 		u.line = nil
 	}
@@ -791,7 +797,7 @@
 		c.flush()
 	}
 	if u.t != nil && u.fd >= 0 && (c.out.len() >= u.e.s.Limits.Buffer || c.out.len() > 0 && u.e.guard.mem.Full()) {
-		u.held = true
+		u.held, u.heldAt = true, u.e.l.Now()
 		u.flow.Rest(u.e.guard.now(), &u.e.guard.member)
 		u.e.l.Disarm(&u.timer) // the client holds things up, not the member
 		u.e.l.Want(u.fd, 0)
@@ -807,11 +813,20 @@
 	}
 	u := t.u
 	u.held = false
+	u.stalled(false)
 	u.flow.Wait(u.e.guard.now())
 	u.e.l.Arm(&u.timer, u.e.s.Limits.BodyIdle)
 	u.e.l.Want(u.fd, loop.Read)
 }
 
+// stalled tells the module whether the answer waits for its client.
+func (u *upstream) stalled(on bool) {
+	if t := u.t; t != nil && u.told != on {
+		u.told = on
+		u.e.tell(spool.Stalled{ID: t.send.ID, Attempt: t.n, On: on})
+	}
+}
+
 // theirs reports fields of an answer that are for the router, or written anew.
 func theirs(name []byte) bool {
 	return http1.EqualFold(name, "content-length") || http1.EqualFold(name, "spool-load")
--- a/internal/journal/format.go
+++ b/internal/journal/format.go
@@ -176,6 +176,7 @@
 	evMessage
 	evRecalled
 	evRetired
+	evStalled
 )
 
 const (
@@ -299,6 +300,12 @@
 		In    float64
 		Token int64
 	}
+	fStalled struct {
+		_       struct{} `cbor:",toarray"`
+		ID      name
+		Attempt int
+		On      bool
+	}
 	fBytes struct {
 		_     struct{} `cbor:",toarray"`
 		Bytes []byte
@@ -347,6 +354,8 @@
 	case spool.Recalled:
 		b, err := memory.EncodeModule(e.Memory)
 		return written{Kind: evRecalled, Fields: &fBytes{Bytes: b}}, err
+	case spool.Stalled:
+		return written{Kind: evStalled, Fields: &fStalled{ID: n.put(e.ID), Attempt: e.Attempt, On: e.On}}, nil
 	case spool.Retired:
 		return written{Kind: evRetired, Fields: &fBool{On: e.On}}, nil
 	}
@@ -532,6 +541,8 @@
 			return nil, fmt.Errorf("%w of event: %w", ErrUnknown, err)
 		}
 		out = spool.Recalled{Memory: m}
+	case evStalled:
+		out = spool.Stalled{ID: f.name(), Attempt: int(f.int()), On: f.bool()}
 	case evRetired:
 		out = spool.Retired{On: f.bool()}
 	default:
--- a/router.go
+++ b/router.go
@@ -112,6 +112,8 @@
 		if q := r.open[ev.ID]; q != nil {
 			q.stream = true
 		}
+	case Stalled:
+		r.stall(ev)
 	case Gone:
 		if q := r.open[ev.ID]; q != nil {
 			r.close(q)
@@ -669,6 +671,9 @@
 	}
 	a := &q.tries[ev.Attempt]
 	a.open = false
+	if a.stalled {
+		r.hold(a, 1) // and lets it go below
+	}
 	a.at.out = max(a.at.out-a.expect, 0)
 	r.judge(q, a, ev)
 	if a.blamed == a.at {
@@ -677,9 +682,13 @@
 	late := r.now-a.sent > tardyPart*q.aim()
 	if a.at.held = max(a.at.held-1, 0); a.fill {
 		r.link.held--
+	}
+	switch {
+	case a.waited:
+	case a.fill:
 		r.pace += (min(max((r.now-a.sent)/(q.work+50), 1), 4) - r.pace) * 0.05
 		r.gauge(&r.link, r.now-a.sent, late, a.blamed == nil)
-	} else if ev.Result != Miss {
+	case ev.Result != Miss:
 		r.gauge(&a.at.gate, r.now-a.sent, late, a.blamed == nil)
 	}
 	a.at.trial, a.src.trial = false, false
@@ -696,6 +705,34 @@
 	}
 }
 
+// stall takes an answer that waits for its client out of what members and the link
+// bear, and back when it goes on: one slow client keeps no place from others.
+func (r *Router) stall(ev Stalled) {
+	q := r.open[ev.ID]
+	if q == nil || ev.Attempt < 0 || ev.Attempt >= len(q.tries) {
+		return
+	}
+	a := &q.tries[ev.Attempt]
+	if !a.open || a.stalled == ev.On {
+		return
+	}
+	if a.stalled, a.waited = ev.On, true; !ev.On {
+		r.hold(a, 1)
+		return
+	}
+	r.hold(a, -1)
+	r.pump()
+}
+
+// hold counts an attempt in (1) or out (-1) of what is held.
+func (r *Router) hold(a *attempt, n float64) {
+	a.at.held += n
+	a.at.out = max(a.at.out+n*a.expect, 0)
+	if a.fill {
+		r.link.held += n
+	}
+}
+
 // aim is how long an answer may take and still earn its worth.
 func (q *request) aim() Millis { return q.class.Aim + q.class.AimStretch*q.work }
 
@@ -922,7 +959,7 @@
 }
 
 func (a *attempt) overdue(now Millis) bool {
-	return a.open && now-a.sent > lateBase+lateStretch*a.expect
+	return a.open && !a.waited && now-a.sent > lateBase+lateStretch*a.expect
 }
 
 // rescue calls back attempts that wait on a silent or vanished member.
--- a/snapshot_test.go
+++ b/snapshot_test.go
@@ -174,3 +174,52 @@
 		t.Error("a memory was recalled by one that has begun")
 	}
 }
+
+// Answers that wait for their clients hold no place of a cache, and don't make it look
+// silent; once they go on they do again.
+func TestStalled(t *testing.T) {
+	for _, stalled := range []bool{false, true} {
+		s := testSettings()
+		r, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := Millis(1000)
+		r.Handle(now, Members{Full: true, Rows: []Member{{ID: "b", Zone: s.Zone, Kind: "box", Size: 1}, {ID: "o", Kind: s.OriginKind}}}, nil)
+		ask := func(id string) (sent bool) {
+			for _, a := range r.Handle(now, Request{ID: id, Class: s.Classes[0].Name, Object: "o", Deadline: now + 60000}, nil) {
+				if send, ok := a.(Send); ok && send.ID == id && send.Cache == "b" {
+					sent = true
+				}
+			}
+			return sent
+		}
+		for i := range int(firstRoom) {
+			id := fmt.Sprint("slow", i)
+			if !ask(id) {
+				t.Fatal("not sent", i)
+			}
+			r.Handle(now, Started{ID: id, Cache: "b"}, nil)
+			if stalled {
+				r.Handle(now, Stalled{ID: id, On: true}, nil)
+				r.Handle(now, Stalled{ID: id, On: true}, nil) // told twice counts once
+			}
+		}
+		for range 200 {
+			now += 25
+			r.Handle(now, Timer{}, nil)
+		}
+		if got := ask("still"); got != stalled || r.members["b"].suspect == stalled {
+			t.Errorf("stalled %v: sent %v, suspect %v", stalled, got, r.members["b"].suspect)
+		}
+		for i := range int(firstRoom) {
+			id := fmt.Sprint("slow", i)
+			r.Handle(now, Stalled{ID: id}, nil)
+			r.Handle(now, Outcome{ID: id, Cache: "b", Result: OK, Last: true, Took: 5000}, nil)
+		}
+		r.Handle(now, Outcome{ID: "still", Cache: "b", Result: OK, Last: true}, nil)
+		if b := r.members["b"]; b.held != 0 || b.out < 0 || b.out > 1e-6 {
+			t.Errorf("stalled %v: %v are held, %v expected", stalled, b.held, b.out)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -56,6 +56,8 @@
 	called       bool // cancelled by us
 	lacked       bool // only a cache was asked, which had no copy
 	blamed       *member
+	stalled      bool // it waits for its client now
+	waited       bool // or did: how long it took tells nothing of members
 }
 
 // request is a request in hand.
@@ -120,7 +122,7 @@
 	opened         Millis
 	layout, prior  layout // who holds what, and before the last change
 	moved          Millis // when that was
-	retired        bool // a successor spends the cold budgets
+	retired        bool   // a successor spends the cold budgets
 	acts           []Action
 	looker         func(Look) // hears what choices look at; nil: nobody
 }
