Past the memory's edge, answers stuck at their clients go before anybody new is refused

In a flood of 300 connections against a budget of 64 MB nobody else was served: slow readers held the budget, and only what is new was turned away.

--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
+	"slices"
 	"sort"
 
 	"golang.org/x/sys/unix"
@@ -33,6 +35,7 @@
 	slow      map[*client]struct{} // clients that are waited for
 	addresses map[netip.Addr]int   // connections of clients
 	idle      idleList
+	shedAt    float64     // when requests may be looked over again
 	found     []*upstream // in a sweep
 	stuck     []*upstream // in a sweep: their clients hold them up
 	back      []*client   // not read for now
@@ -280,10 +283,25 @@
 	for idle > 0 && g.closeIdle(limits.Memory) {
 		idle -= clientBytes
 	}
-	if requests -= max(requests-idle, 0); requests <= 0 {
+	e := g.e
+	if idle <= 0 || e.l.Now() < g.shedAt { // looking over all of them has its price
+		return
+	}
+	g.shedAt = e.l.Now() + 50
+	for _, u := range g.stuckest() {
+		if idle <= 0 {
+			return
+		}
+		if u.held && u.t != nil {
+			c := u.t.r.c
+			idle -= clientBytes + upstreamBytes + requestBytes + int64(cap(c.out.buf))
+			g.counts[limits.Memory]++
+			c.cutSlow(limits.SlowReader)
+		}
+	}
+	if requests = min(requests, idle); requests <= 0 {
 		return
 	}
-	e := g.e
 	var held []limits.Holder
 	var list []*request
 	for c := range e.clients {
@@ -309,6 +327,21 @@
 	}
 }
 
+// stuckest is the members' connections that wait for their clients for stuckFor, the
+// longest first.
+func (g *guard) stuckest() (list []*upstream) {
+	now := g.e.l.Now()
+	for _, p := range g.e.pools {
+		for u := range p.all {
+			if u.held && u.t != nil && now-u.heldAt >= stuckFor {
+				list = append(list, u)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.heldAt, b.heldAt) })
+	return list
+}
+
 // closeIdle closes the connection that is unused for longest; false: none is.
 func (g *guard) closeIdle(cause limits.Cause) bool {
 	c := g.idle.oldest()
