An abandoned attempt is reset; the flood comes from many addresses

A cut attempt left its port waiting for a minute, and 47,000 of them used up those of loopback in a flood. What is abandoned after it was written is reset now, so that its member stops at once, and the flood's clients come from 200 addresses.

--- a/internal/bench/overload.go
+++ b/internal/bench/overload.go
@@ -243,10 +243,12 @@
 	ctx, stop := context.WithTimeout(ctx, span)
 	defer stop()
 	var wg sync.WaitGroup
-	attack := func(kind int) {
+	attack := func(i, kind int) {
 		defer wg.Done()
+		// from many addresses: the ports of one are soon used up by those that were cut
+		from := net.Dialer{Timeout: 2 * time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, byte(1+i%200), 1)}}
 		for ctx.Err() == nil {
-			c, err := net.DialTimeout("tcp4", m.Addr, 2*time.Second)
+			c, err := from.Dial("tcp4", m.Addr)
 			if err != nil {
 				time.Sleep(200 * time.Millisecond)
 				continue
@@ -278,7 +280,7 @@
 	}
 	for i := range conns {
 		wg.Add(1)
-		go attack(i % 3)
+		go attack(i, i%3)
 	}
 	var good, bad atomic.Int64
 	for range 8 {
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -96,6 +96,9 @@
 		}
 	} else if u != nil {
 		t.u, u.t = nil, nil
+		if t.written { // its member is to stop at once, and the port is free again
+			unix.SetsockoptLinger(u.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		}
 		u.close()
 	} else if t.p != nil {
 		t.p.forget(t)
