--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -24,7 +24,6 @@
 	from           netip.Addr
 	address        string      // from, as text
 	flow           limits.Flow // of what is waited for from it
-	until          float64     // it was turned away, and is not read before
 	wrote          int64       // bytes that the kernel has taken for it
 	idled          int64       // of them, what it had acknowledged when its time to take some last ended
 	seen           int64       // of them, what it had acknowledged when it was last looked at
@@ -57,14 +56,9 @@
 			c.e.guard.ready(c.class, c)
 		}
 	}
-	if c.gone || !r.Readable() {
-		return
-	}
-	if c.until > c.e.l.Now() && c.cur == nil && !r.Hangup() {
-		c.e.guard.holdBack(c) // it was turned away, and asks again at once
-		return
+	if !c.gone && r.Readable() {
+		c.read(r)
 	}
-	c.read(r)
 }
 
 func (c *client) read(r loop.Ready) {
@@ -229,7 +223,6 @@
 		r.why = endLimit
 		r.cause = cause
 		e.stats.Refused++
-		c.until = e.l.Now() + e.s.Limits.HoldOff
 		c.answer(r, 503, 1000)
 		return
 	}
--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -38,7 +38,6 @@
 	shedAt    float64     // when requests may be looked over again
 	found     []*upstream // in a sweep
 	stuck     []*upstream // in a sweep: their clients hold them up
-	back      []*client   // not read for now
 	sweepT    loop.Timer
 	retryT    loop.Timer // attempts that wait for a descriptor
 	most      int        // connections that there are descriptors for
@@ -144,9 +143,6 @@
 		}
 	}
 	g.adm.Turn(e.l.Now(), len(e.reqs))
-	if len(g.back) > 0 {
-		g.letIn(e.l.Now())
-	}
 	if g.mem.Full() {
 		g.shed()
 	}
@@ -192,31 +188,6 @@
 	}
 }
 
-// holdBack leaves what a client sends unread for as long as it is to stay away: in an
-// overload reading and turning away is what the router must not be busy with.
-func (g *guard) holdBack(c *client) {
-	c.paused = true
-	c.wants()
-	g.back = append(g.back, c)
-}
-
-// letIn reads on from those whose time has come. All are held for equally long, so
-// they stand in the order of it.
-func (g *guard) letIn(now float64) {
-	n := 0
-	for n < len(g.back) && (g.back[n].until <= now || g.back[n].gone) {
-		if c := g.back[n]; !c.gone {
-			c.paused = false
-			c.wants()
-		}
-		g.back[n] = nil
-		n++
-	}
-	if n > 0 {
-		g.back = append(g.back[:0], g.back[n:]...)
-	}
-}
-
 // sweep looks at those that are waited for.
 func (g *guard) sweep() {
 	e, now := g.e, g.now()
