Which stuck answer gives way is decided in internal/limits, not in the edge

The edge held the span after which an answer that waits for its client gives its place to others, and the order: a tuned value and a choice outside of the module for them. They are limits.Stuck now, with a test; the edge collects who waits and cuts whom it names. Behaviour is as it was; tests of edge and limits pass.

--- a/internal/edge/guard.go
+++ b/internal/edge/guard.go
@@ -1,7 +1,7 @@
 package edge
 
 import (
-	"cmp"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -51,8 +51,7 @@
 }
 
 const (
-	stuckFor   = 1000 // ms
-	sweepEvery = 250  // ms between looks at slow peers
+	sweepEvery = 250 // ms between looks at slow peers
 	// memory that is booked for what is not a buffer, in bytes, measured as by
 	// spool-bench idle: descriptions, their places in tables, and timers
 	clientBytes   = 1 << 10
@@ -173,18 +172,13 @@
 // ordinary is not theirs.
 func (g *guard) now() float64 { return g.e.l.Now() - g.e.l.Slow() }
 
-// freePlace has a member's connection that waits for its client longest give its place
-// to an attempt that finds none, once that has been so for stuckFor.
+// freePlace has the connection of a member give its place to an attempt that finds
+// none, where one has waited for its client for long.
 func (g *guard) freePlace(p *pool) {
-	var top *upstream
-	for u := range p.all {
-		if u.held && u.t != nil && g.e.l.Now()-u.heldAt >= stuckFor && (top == nil || u.heldAt < top.heldAt) {
-			top = u
-		}
-	}
-	if top != nil {
+	for _, u := range g.stuckAt(p) {
 		g.counts[limits.SlowReader]++
-		top.t.r.c.cutSlow(limits.SlowReader)
+		u.t.r.c.cutSlow(limits.SlowReader)
+		return
 	}
 }
 
@@ -259,7 +253,7 @@
 		return
 	}
 	g.shedAt = e.l.Now() + 50
-	for _, u := range g.stuckest() {
+	for _, u := range g.stuckAt(slices.Collect(maps.Values(e.pools))...) {
 		if idle <= 0 {
 			return
 		}
@@ -298,18 +292,21 @@
 	}
 }
 
-// stuckest is the members' connections that wait for their clients for stuckFor, the
-// longest first.
-func (g *guard) stuckest() (list []*upstream) {
-	now := g.e.l.Now()
-	for _, p := range g.e.pools {
+// stuckAt is the connections to members that wait for their clients for long, in the
+// order in which they give way.
+func (g *guard) stuckAt(pools ...*pool) (list []*upstream) {
+	var all []*upstream
+	var waits []float64
+	for _, p := range pools {
 		for u := range p.all {
-			if u.held && u.t != nil && now-u.heldAt >= stuckFor {
-				list = append(list, u)
+			if u.held && u.t != nil {
+				all, waits = append(all, u), append(waits, g.e.l.Now()-u.heldAt)
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.heldAt, b.heldAt) })
+	for _, i := range limits.Stuck(waits) {
+		list = append(list, all[i])
+	}
 	return list
 }
 
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -384,6 +384,13 @@
 	}
 }
 
+// Answers that have waited for their clients for a second give way, the longest first.
+func TestStuck(t *testing.T) {
+	if got := fmt.Sprint(Stuck([]float64{999, 1000, 5000, 0, 2000})); got != "[2 4 1]" || len(Stuck(nil)) != 0 {
+		t.Error(got)
+	}
+}
+
 func BenchmarkDRR(b *testing.B) {
 	d := NewDRR[int](64<<10, []float64{2, 1, 1})
 	for i := range 3000 {
--- a/internal/limits/memory.go
+++ b/internal/limits/memory.go
@@ -107,3 +107,19 @@
 	}
 	return list
 }
+
+// stuckFor is for how long, in ms, an answer has to wait for its client before it gives
+// way to others.
+const stuckFor = 1000
+
+// Stuck is the places of those waits, in ms for a client, that give way to others: the
+// longest first.
+func Stuck(waits []float64) (out []int) {
+	for i, w := range waits {
+		if w >= stuckFor {
+			out = append(out, i)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b int) int { return cmp.Compare(waits[b], waits[a]) })
+	return out
+}
