--- a/cmd/spool-router/main.go
+++ b/cmd/spool-router/main.go
@@ -36,7 +36,7 @@
 	try := &cobra.Command{Use: "demo", Short: "A router among stand-ins, to fetch from with curl", Args: cobra.NoArgs, Example: "  spool-router demo",
 		RunE: func(c *cobra.Command, _ []string) error { return runDemo(c.Context(), log) }}
 	try.Flags().StringVar(&log, "log", "none", "access log: stderr, stdout, none or a file")
-	root.AddCommand(serve, check, try)
+	root.AddCommand(serve, check, try, nodeCommand())
 	cli.Main(root)
 }
 
--- /dev/null
+++ b/cmd/spool-router/node.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"indigospool/internal/cli"
+	"indigospool/internal/node"
+)
+
+// nodeCommand is the router on the platform, told by its environment.
+func nodeCommand() *cobra.Command {
+	var line float64
+	c := &cobra.Command{Use: "node", Short: "Serve on the platform, as NODE_CONFIG says, until SIGTERM; SIGHUP reads it again",
+		Example: "  NODE_CONFIG=config.json NODE_LISTEN=127.0.0.1:5050 spool-router node", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return serveNode(c.Context(), line) }}
+	c.Flags().Float64Var(&line, "line", 0, "log a line of counts each so many milliseconds; 0: none")
+	return c
+}
+
+func serveNode(ctx context.Context, line float64) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // before anything else: it must never end the program
+	runtime.GOMAXPROCS(1)
+	file := os.Getenv("NODE_CONFIG")
+	if file == "" {
+		return errors.New("NODE_CONFIG names no configuration file")
+	}
+	cfg, err := node.ReadConfig(file)
+	if err != nil {
+		return err
+	}
+	cli.Steady(cfg.Limits.MemoryMB)
+	logs := zap.NewProductionConfig()
+	logs.Sampling, logs.DisableStacktrace, logs.DisableCaller = nil, true, true
+	log, err := logs.Build()
+	if err != nil {
+		return err
+	}
+	defer log.Sync()
+	log = log.With(zap.String("node", os.Getenv("NODE_NAME")))
+	n, err := node.Open(file, os.Getenv("NODE_LISTEN"), log)
+	if err != nil {
+		return err
+	}
+	if line > 0 {
+		n.Line(line)
+	}
+	log.Info("serving", zap.String("address", n.Addr()))
+	context.AfterFunc(ctx, n.Drain)
+	go func() {
+		for range hup {
+			n.Reload()
+		}
+	}()
+	err = n.Run()
+	log.Info("ended")
+	return err
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,25 @@
 	return c, nil
 }
 
+// NewBare makes a core from the module's own settings, for those who bring requests
+// of the module's form and have no use for routes.
+func NewBare(m spool.Settings, seed uint64) (*Core, error) {
+	r, err := spool.New(m, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{module: m, router: r, members: map[string]*known{}}, nil
+}
+
+// ResettleBare goes by other settings of the module from now on, as Resettle does.
+func (c *Core) ResettleBare(now spool.Millis, m spool.Settings, dst []spool.Action) ([]spool.Action, error) {
+	if err := m.Valid(); err != nil {
+		return dst, err
+	}
+	c.module = m
+	return c.Handle(now, spool.Resettled{Settings: m}, dst), nil
+}
+
 func compileAll(s *config.Settings) (list []route, err error) {
 	for i := range s.Routes {
 		r, err := compile(s, &s.Routes[i])
@@ -183,6 +202,13 @@
 	}
 }
 
+// Forget drops what is kept of a member that was removed. It does nothing to others.
+func (c *Core) Forget(id string) {
+	if m := c.members[id]; m != nil && m.State == spool.Removed {
+		delete(c.members, id)
+	}
+}
+
 // Rev is the version of the list that the router goes by.
 func (c *Core) Rev() int64 { return c.rev }
 
--- /dev/null
+++ b/internal/limits/places.go
@@ -0,0 +1,78 @@
+package limits
+
+// Places shares the descriptors of a router that may hold few: so many for clients'
+// connections, so many for those to members, and some kept back for what else a
+// process needs. The spans are in milliseconds.
+type Places struct{ Clients, Members int }
+
+const (
+	keptBack     = 24   // the loop, the listener, the feed, logs, and what the runtime opens
+	clientPart   = 0.55 // of the others; what is left goes to members
+	silentFor    = 2200 // a connection that has not sent a whole message
+	halfFor      = 2200 // a message that has begun and does not end
+	unusedFor    = 6000 // a connection without an open request: clients close theirs earlier
+	unreadFor    = 2500 // an answer of which nothing is taken
+	idlePart     = 0.8  // of the time after which members close idle connections
+	usualIdle    = 30000
+	memoryPart   = 0.3 // of the memory that waiting bytes may take
+	leastWaiting = 4 << 20
+)
+
+// NewPlaces shares out so many descriptors.
+func NewPlaces(descriptors int) Places {
+	n := max(descriptors-keptBack, 8)
+	c := int(float64(n) * clientPart)
+	return Places{Clients: c, Members: n - c}
+}
+
+// WaitingBytes is how much may wait for clients and members that read slowly, of a
+// memory of so many bytes.
+func WaitingBytes(memory int) int { return max(int(float64(memory)*memoryPart), leastWaiting) }
+
+// Visitor is what is known of a client's connection. Times are on the caller's clock.
+type Visitor struct {
+	Since    float64 // when it came
+	Last     float64 // when it last sent a whole message or was answered
+	Half     float64 // since when it has sent a part of one; 0: it has not
+	Stuck    float64 // since when it has taken nothing of what waits for it; 0: nothing waits
+	Open     int     // its open requests
+	Messages int     // whole ones so far
+}
+
+// Overstays reports whether a connection is to be closed now: it says nothing, says half
+// of something, takes no answer, or was not used for long.
+func (v *Visitor) Overstays(now float64) bool {
+	switch {
+	case v.Half > 0 && now-v.Half > halfFor, v.Stuck > 0 && now-v.Stuck > unreadFor:
+		return true
+	case v.Open > 0:
+		return false
+	case v.Messages == 0:
+		return now-v.Since > silentFor
+	}
+	return now-v.Last > unusedFor
+}
+
+// Yields reports whether v goes before w where room is needed for another connection:
+// never one with an open request; of the others one that never spoke, then the one
+// that was longest without use.
+func (v *Visitor) Yields(w *Visitor) bool {
+	switch {
+	case v.Open > 0:
+		return false
+	case w == nil || w.Open > 0:
+		return true
+	case (v.Messages == 0) != (w.Messages == 0):
+		return v.Messages == 0
+	}
+	return max(v.Last, v.Since) < max(w.Last, w.Since)
+}
+
+// Rests reports whether an idle connection to a member is closed before the member
+// closes it, told that members do so after span; 0: not told.
+func Rests(idle, span float64) bool {
+	if span <= 0 {
+		span = usualIdle
+	}
+	return idle > idlePart*span
+}
--- /dev/null
+++ b/internal/node/client.go
@@ -0,0 +1,299 @@
+package node
+
+import (
+	"golang.org/x/sys/unix"
+
+	"go.uber.org/zap"
+
+	spool "indigospool"
+	"indigospool/internal/front"
+	"indigospool/internal/limits"
+	"indigospool/internal/loop"
+)
+
+const errAgain = unix.EAGAIN
+
+func closeFD(fd int) { unix.Close(fd) }
+
+// listener takes clients' connections.
+type listener struct {
+	n       *Node
+	fd      int
+	address string
+}
+
+func listen(n *Node, address string) (*listener, error) {
+	fd, bound, err := loop.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	ln := &listener{n: n, fd: fd, address: bound}
+	return ln, n.l.Add(fd, loop.Read, ln)
+}
+
+func (ln *listener) close() {
+	ln.n.l.Remove(ln.fd)
+	closeFD(ln.fd)
+}
+
+const acceptTurn = 64 // connections that one turn takes
+
+// OnReady is the loop's.
+func (ln *listener) OnReady(loop.Ready) {
+	n := ln.n
+	for range acceptTurn {
+		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err == unix.EMFILE || err == unix.ENFILE {
+			if !n.yield() {
+				return
+			}
+			continue
+		}
+		if err != nil {
+			return
+		}
+		n.stats.Accepted++
+		if len(n.clients) >= n.places.Clients && !n.yield() {
+			closeFD(fd)
+			continue
+		}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		c := &client{n: n, fd: fd, open: map[int32]*request{}, v: limits.Visitor{Since: n.l.Now()}}
+		if err := n.l.Add(fd, loop.Read, c); err != nil {
+			closeFD(fd)
+			continue
+		}
+		n.clients[c] = struct{}{}
+	}
+}
+
+// yield closes the connection that goes first where room is needed, if any may.
+func (n *Node) yield() bool {
+	var first *client
+	for c := range n.clients {
+		c.v.Open = len(c.open)
+		if first == nil && c.v.Open == 0 || first != nil && c.v.Yields(&first.v) {
+			first = c
+		}
+	}
+	if first != nil {
+		first.close()
+	}
+	return first != nil
+}
+
+// client is a client's connection.
+type client struct {
+	n      *Node
+	fd     int
+	in     loop.Queue
+	out    loop.Queue
+	open   map[int32]*request
+	last   int32 // number of the last call of serve
+	v      limits.Visitor
+	closed bool
+}
+
+// close ends a connection; what is open on it is given up.
+func (c *client) close() {
+	if c.closed {
+		return
+	}
+	n := c.n
+	c.closed = true
+	n.stats.Closed++
+	n.l.Remove(c.fd)
+	closeFD(c.fd)
+	delete(n.clients, c)
+	n.waiting -= c.out.Len()
+	c.in.Drop(&n.bufs)
+	c.out.Drop(&n.bufs)
+	for _, r := range c.open {
+		c.giveUp(r)
+	}
+}
+
+// giveUp tells the module that the client has left a request.
+func (c *client) giveUp(r *request) {
+	c.n.stats.Gone++
+	c.n.over(r)
+	c.n.tell(spool.Gone{ID: r.ID})
+}
+
+// OnReady is the loop's.
+func (c *client) OnReady(r loop.Ready) {
+	if r.Writable() && c.out.Len() > 0 {
+		c.flush()
+	}
+	if !c.closed && r.Readable() {
+		c.read()
+	}
+}
+
+// read takes what has come. Whole calls of one read are looked at together before the
+// first is handed on: one that spoils its connection spoils what came along with it.
+func (c *client) read() {
+	n := c.n
+	k, err := loop.ReadFD(c.fd, n.scratch)
+	if err == errAgain {
+		return
+	}
+	if err != nil || k == 0 {
+		c.close()
+		return
+	}
+	data := n.scratch[:k]
+	if c.in.Len() > 0 {
+		c.in.Add(&n.bufs, data)
+		data = c.in.Bytes()
+	}
+	calls, used, err := c.calls(data)
+	if err != nil {
+		n.stats.Bad++
+		n.log.Debug("client closed", zap.Error(err))
+		c.close()
+		return
+	}
+	rest := len(data) - used
+	if c.in.Len() > 0 {
+		c.in.Take(&n.bufs, used)
+	} else if rest > 0 {
+		c.in.Add(&n.bufs, data[used:])
+	}
+	if rest == 0 {
+		c.v.Half = 0
+	} else if c.v.Half == 0 || used > 0 {
+		c.v.Half = n.l.Now()
+	}
+	if len(calls) > 0 {
+		c.v.Messages += len(calls)
+		c.v.Last = n.l.Now()
+	}
+	for i := range calls {
+		if c.closed {
+			return
+		}
+		c.call(&calls[i])
+	}
+	c.flush()
+}
+
+// calls reads all whole frames, and holds them to what a connection may do: numbers
+// rise, and so many requests are open at once.
+func (c *client) calls(data []byte) (calls []front.Call, used int, err error) {
+	open, last := len(c.open), c.last
+	for {
+		payload, size, err := front.Split(data[used:])
+		if err != nil || size == 0 {
+			return calls, used, err
+		}
+		call, err := c.n.codec.Parse(payload)
+		if err != nil {
+			return nil, 0, err
+		}
+		switch call.Verb {
+		case front.Serve:
+			if call.Seq <= last {
+				return nil, 0, front.ErrNumber
+			}
+			if last = call.Seq; open >= front.MaxOpen {
+				return nil, 0, front.ErrOpen
+			}
+			open++
+		case front.Forget:
+			if c.open[call.Of] != nil {
+				open--
+			} else {
+				for i := range calls {
+					if calls[i].Verb == front.Serve && calls[i].Seq == call.Of {
+						open--
+					}
+				}
+			}
+		}
+		calls = append(calls, call)
+		used += size
+	}
+}
+
+// call does what one message asks for.
+func (c *client) call(call *front.Call) {
+	n := c.n
+	switch call.Verb {
+	case front.Forget:
+		if r := c.open[call.Of]; r != nil {
+			c.giveUp(r)
+		}
+	case front.IsWell:
+		c.queue(n.codec.Well(call.Seq, n.drained == 0))
+	case front.Serve:
+		c.last = call.Seq
+		q, err := front.Check(call, n.class)
+		if err == nil && n.reqs[q.ID] != nil {
+			err = front.ErrTwice
+		}
+		if err != nil {
+			n.stats.Bad++
+			n.log.Debug("request turned down", zap.Error(err))
+			c.queue(n.codec.Failed(call.Seq))
+			return
+		}
+		n.take(c, call.Seq, q)
+	default:
+		n.stats.Bad++
+		c.queue(n.codec.NoSuch(call.Name, call.Seq))
+	}
+}
+
+// answer gives a request its final answer.
+func (c *client) answer(r *request, frame []byte) {
+	c.n.over(r)
+	c.queue(frame)
+	c.flush()
+}
+
+// queue adds bytes for the client. One that asks and takes nothing is closed before
+// what waits for all takes too much memory.
+func (c *client) queue(b []byte) {
+	n := c.n
+	if c.closed {
+		return
+	}
+	if c.out.Len() == 0 {
+		c.v.Stuck = n.l.Now()
+	}
+	c.out.Add(&n.bufs, b)
+	n.waiting += len(b)
+	c.v.Last = n.l.Now()
+}
+
+func (c *client) flush() {
+	n := c.n
+	for !c.closed && c.out.Len() > 0 {
+		k, err := loop.WriteFD(c.fd, c.out.Bytes())
+		if err == errAgain {
+			break
+		}
+		if err != nil {
+			c.close()
+			return
+		}
+		c.out.Take(&n.bufs, k)
+		n.waiting -= k
+		c.v.Stuck = n.l.Now()
+	}
+	if c.closed {
+		return
+	}
+	want := loop.Read
+	if c.out.Len() > 0 {
+		want |= loop.Write
+		if n.waiting > limits.WaitingBytes(int(n.cfg.Limits.MemoryMB*(1<<20))) {
+			c.close()
+			return
+		}
+	} else {
+		c.v.Stuck = 0
+	}
+	n.l.Want(c.fd, want)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,337 @@
+// Package node is the router on the platform: clients come in by Thrift, caches are
+// reached by RESP, and the control feed tells the list and the purges. Bytes become
+// events of the decision module, and its actions become bytes again, on the loop, the
+// core and the limits that the other front uses too.
+//
+// It never chooses a cache, a source, a repeat or a refusal, and judges nobody's health:
+// it tells the module what happened and carries out what that decides. It writes no
+// files and listens at one address only. Clients are in client.go, members in
+// upstream.go, the feed in watch.go.
+package node
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	spool "indigospool"
+	"indigospool/internal/core"
+	"indigospool/internal/feed"
+	"indigospool/internal/front"
+	"indigospool/internal/limits"
+	"indigospool/internal/loop"
+)
+
+// Node is one router. All of it belongs to its loop's goroutine, but for the methods
+// that say otherwise.
+type Node struct {
+	l    *loop.Loop
+	cfg  *Config
+	file string
+	log  *zap.Logger
+	core *core.Core
+
+	classes map[string]*spool.Class
+	reqs    map[string]*request
+	pools   map[string]*pool
+	clients map[*client]struct{}
+	codec   *front.Codec
+	bufs    loop.Buffers
+	scratch []byte
+	places  limits.Places
+	conns   int // connections to members
+	waiting int // bytes that wait for clients
+
+	events []spool.Event // what the module is still to hear
+	acts   []spool.Action
+	busy   bool
+	born   *request // the request that the module hears of now: the timer asked for is its
+	beat   loop.Timer
+
+	watch    watch
+	listener *listener
+	drained  float64 // since when it drains; 0: it does not
+	stats    Stats
+}
+
+// Stats counts what passed. Gauges are in the log line only.
+type Stats struct {
+	Requests, Bad, Served, Same, Refused, Failed, Gone, Attempts uint64
+	Outcomes                                                     [int(spool.Miss) + 1]uint64
+	Spoilt, Extra, Dials, Accepted, Closed, Events               uint64
+}
+
+// request is a client's request in hand.
+type request struct {
+	front.Request
+	c     *client // nil once it is over
+	seq   int32
+	until float64 // when its client stops waiting
+	tries int
+	out   *attempt
+	timer loop.Timer // the module's
+}
+
+// Open makes a router that listens; Run serves.
+func Open(file, address string, log *zap.Logger) (*Node, error) {
+	cfg, err := ReadConfig(file)
+	if err != nil {
+		return nil, err
+	}
+	if address == "" {
+		address = cfg.Listen
+	}
+	n := &Node{cfg: cfg, file: file, log: log, reqs: map[string]*request{}, pools: map[string]*pool{},
+		clients: map[*client]struct{}{}, codec: front.NewCodec(), scratch: make([]byte, 64<<10),
+		places: limits.NewPlaces(cfg.Limits.Sockets)}
+	n.bufs.Keep = limits.WaitingBytes(int(cfg.Limits.MemoryMB*(1<<20))) / 2
+	if n.core, err = core.NewBare(cfg.settings.Module, cfg.seed); err != nil {
+		return nil, err
+	}
+	n.setClasses()
+	if n.l, err = loop.New(0); err != nil {
+		return nil, err
+	}
+	n.beat.F = func() { n.tell(spool.Timer{}) }
+	n.watch.reader = feed.Reader{Zones: cfg.settings.Module.Zones, Kinds: cfg.settings.Kinds}
+	n.watch.n = n
+	if err := n.watch.reader.Known(cfg.Known, n.event); err != nil {
+		return nil, err
+	}
+	if n.listener, err = listen(n, address); err != nil {
+		return nil, err
+	}
+	n.watch.connect()
+	n.l.Ticker(sweepSpan, n.sweep)
+	return n, nil
+}
+
+const sweepSpan = 200 // ms between looks at connections that overstay
+
+func (n *Node) setClasses() {
+	n.classes = map[string]*spool.Class{}
+	for i := range n.cfg.settings.Module.Classes {
+		c := &n.cfg.settings.Module.Classes[i]
+		n.classes[c.Name] = c
+	}
+}
+
+func (n *Node) class(name string) *spool.Class { return n.classes[name] }
+
+// Addr is where the router listens.
+func (n *Node) Addr() string { return n.listener.address }
+
+// Run serves until it has drained.
+func (n *Node) Run() error { return n.l.Run() }
+
+// Drain has the router finish what it has and what still comes, and then end. It may be
+// called from any goroutine.
+func (n *Node) Drain() {
+	n.l.Post(func() {
+		if n.drained == 0 {
+			n.drained = n.l.Now()
+			n.log.Info("draining", zap.Int("open", len(n.reqs)))
+		}
+	})
+}
+
+// Reload reads the configuration file again. It may be called from any goroutine.
+func (n *Node) Reload() {
+	n.l.Post(func() {
+		if err := n.reload(); err != nil {
+			n.log.Error("configuration kept as it was", zap.Error(err))
+		}
+	})
+}
+
+func (n *Node) reload() error {
+	cfg, err := ReadConfig(n.file)
+	if err != nil {
+		return err
+	}
+	r := n.watch.reader
+	var list []feed.Event
+	r.Zones, r.Kinds = cfg.settings.Module.Zones, cfg.settings.Kinds
+	if err := r.Known(cfg.Known, func(ev feed.Event) { list = append(list, ev) }); err != nil {
+		return err
+	}
+	if n.acts, err = n.core.ResettleBare(n.l.Now(), cfg.settings.Module, n.acts[:0]); err != nil {
+		return err
+	}
+	moved := cfg.Feed != n.cfg.Feed
+	n.cfg, n.watch.reader = cfg, r
+	n.setClasses()
+	acts := append([]spool.Action(nil), n.acts...)
+	for _, a := range acts {
+		n.carry(a)
+	}
+	for _, ev := range list {
+		n.event(ev)
+	}
+	if moved {
+		n.watch.connect()
+	}
+	n.log.Info("configuration read", zap.String("feed", cfg.Feed), zap.Uint64("last", r.Last))
+	return nil
+}
+
+// event hands an event of the feed on to the module.
+func (n *Node) event(ev feed.Event) {
+	n.stats.Events++
+	unix := float64(time.Now().UnixMicro()) / 1000
+	if !ev.Listed {
+		n.tell(spool.Purge{Object: ev.Object, Group: ev.Group, Age: max(unix-float64(ev.At), 0)})
+		return
+	}
+	news := core.News{Rev: int64(ev.N), How: "step"}
+	if ev.Full {
+		news.How = "full"
+	}
+	for _, r := range ev.Rows {
+		row := core.Row{ID: r.ID, Zone: r.Zone, Kind: r.Kind, Cell: r.Cell, State: memberStates[r.State],
+			Size: r.Weight, Address: r.Address, Start: r.Started}
+		if r.Started > 0 {
+			row.UpMs = max(unix-float64(r.Started), 0.001)
+		}
+		news.Members = append(news.Members, row)
+	}
+	for _, e := range n.core.Apply(n.l.Now(), &news).Events {
+		n.tell(e)
+	}
+	for id, p := range n.pools {
+		if m, ok := n.core.Member(id); !ok || m.State != spool.Serving {
+			p.close()
+		}
+	}
+	n.core.Members(func(m spool.Member, _ string) { n.core.Forget(m.ID) })
+}
+
+var memberStates = map[string]string{"ready": "serving", "draining": "draining", "gone": "removed"}
+
+// tell gives the module an event and carries out its actions; what these bring about is
+// told behind them, in order.
+func (n *Node) tell(ev spool.Event) {
+	n.events = append(n.events, ev)
+	if n.busy {
+		return
+	}
+	n.busy = true
+	for i := 0; i < len(n.events); i++ {
+		ev := n.events[i]
+		if q, ok := ev.(spool.Request); ok {
+			n.born = n.reqs[q.ID]
+		}
+		n.acts = n.core.Handle(n.l.Now(), ev, n.acts[:0])
+		for _, a := range n.acts {
+			n.carry(a)
+		}
+		n.born = nil
+	}
+	n.events, n.busy = n.events[:0], false
+}
+
+// carry carries out one action.
+func (n *Node) carry(a spool.Action) {
+	switch a := a.(type) {
+	case spool.Send:
+		if r := n.reqs[a.ID]; r != nil {
+			n.send(r, a)
+		}
+	case spool.Refuse:
+		if r := n.reqs[a.ID]; r != nil && r.c != nil {
+			n.stats.Refused++
+			r.c.answer(r, n.codec.Refused(r.seq, math.Floor(a.After)))
+		}
+	case spool.Fail:
+		if r := n.reqs[a.ID]; r != nil && r.c != nil {
+			n.stats.Failed++
+			r.c.answer(r, n.codec.Failed(r.seq))
+		}
+	case spool.Cancel:
+		if r := n.reqs[a.ID]; r != nil && r.out != nil && r.out.n == a.Attempt {
+			r.out.giveUp(spool.Cancelled)
+		}
+	case spool.Wake:
+		n.wake(a)
+	}
+}
+
+func (n *Node) wake(a spool.Wake) {
+	token := a.Token
+	switch {
+	case token == 0:
+		n.l.Arm(&n.beat, a.In)
+	case n.born != nil && n.born.timer.F == nil:
+		n.born.timer.F = func() { n.tell(spool.Timer{Token: token}) }
+		n.l.Arm(&n.born.timer, a.In)
+	default:
+		n.l.Once(a.In, func() { n.tell(spool.Timer{Token: token}) })
+	}
+}
+
+// take hands a client's request to the module.
+func (n *Node) take(c *client, seq int32, q front.Request) {
+	now := n.l.Now()
+	r := &request{Request: q, c: c, seq: seq, until: now + q.Wait}
+	n.reqs[q.ID], c.open[seq] = r, r
+	n.stats.Requests++
+	n.tell(spool.Request{ID: q.ID, Class: q.Class, Object: q.Key, Deadline: r.until, Group: q.Group,
+		Part: q.Part, Retry: q.Retry, Write: n.classes[q.Class].Write})
+}
+
+// over ends a request towards its client; it is forgotten when nothing is out for it.
+func (n *Node) over(r *request) {
+	if r.c != nil {
+		delete(r.c.open, r.seq)
+		r.c = nil
+	}
+	if r.out == nil {
+		n.l.Forget(&r.timer)
+		if n.reqs[r.ID] == r {
+			delete(n.reqs, r.ID)
+		}
+	}
+}
+
+// sweep closes connections that overstay, and ends a drained router.
+func (n *Node) sweep() {
+	now := n.l.Now()
+	for c := range n.clients {
+		if c.v.Open = len(c.open); c.v.Overstays(now) {
+			c.close()
+		}
+	}
+	for _, p := range n.pools {
+		p.sweep(now)
+	}
+	if n.drained > 0 && now-n.drained > drainLeast && len(n.reqs) == 0 && n.waiting == 0 {
+		n.listener.close()
+		n.l.Stop()
+	}
+}
+
+// drainLeast is how long after SIGTERM clients may still come, in ms: connections for
+// 400, and requests on them for 200 more.
+const drainLeast = 900
+
+// Line logs what passed and what is held, once each span in ms, for as long as it runs.
+func (n *Node) Line(span float64) {
+	n.l.Ticker(span, func() {
+		s := &n.stats
+		held := map[string]int{}
+		for id, p := range n.pools {
+			if p.held > 0 {
+				held[id] = p.held
+			}
+		}
+		n.log.Info("second", zap.Uint64("requests", s.Requests), zap.Uint64("bad", s.Bad), zap.Uint64("served", s.Served),
+			zap.Uint64("refused", s.Refused), zap.Uint64("failed", s.Failed), zap.Uint64("gone", s.Gone),
+			zap.Uint64("attempts", s.Attempts), zap.String("outcomes", fmt.Sprint(s.Outcomes)), zap.Uint64("spoilt", s.Spoilt),
+			zap.Uint64("extra", s.Extra), zap.Uint64("dials", s.Dials), zap.Uint64("accepted", s.Accepted),
+			zap.Uint64("events", s.Events), zap.Int("open", len(n.reqs)), zap.Int("clients", len(n.clients)),
+			zap.Int("conns", n.conns), zap.Int("pools", len(n.pools)), zap.Int("lent_kb", n.bufs.Used>>10),
+			zap.Int("waiting_kb", n.waiting>>10), zap.Float64("lag_ms", n.l.Lag()), zap.Any("held", held))
+	})
+}
--- /dev/null
+++ b/internal/node/upstream.go
@@ -0,0 +1,514 @@
+package node
+
+import (
+	"math"
+	"slices"
+	"strconv"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	spool "indigospool"
+	"indigospool/internal/limits"
+	"indigospool/internal/loop"
+	"indigospool/internal/resp"
+)
+
+// attempt is one attempt of a request. It is out from when it is written whole until
+// its outcome is told.
+type attempt struct {
+	in      *Node
+	r       *request
+	n       int
+	send    spool.Send
+	sent    float64 // when the module wanted it
+	until   float64
+	timer   loop.Timer
+	p       *pool
+	c       *conn
+	written bool // whole, as far as the machine took it
+	done    bool
+}
+
+// send makes an attempt that the module wants.
+func (n *Node) send(r *request, s spool.Send) {
+	now := n.l.Now()
+	a := &attempt{in: n, r: r, n: r.tries, send: s, sent: now, until: r.until}
+	r.tries++
+	r.out = a
+	n.stats.Attempts++
+	if s.Timeout > 0 {
+		a.until = min(a.until, now+s.Timeout)
+	}
+	m, ok := n.core.Member(s.Cache)
+	if r.c == nil || !ok || m.State != spool.Serving || a.until-now < 1 {
+		a.end(spool.Moot, spool.NoteNone, 0)
+		return
+	}
+	a.timer.F = func() { a.giveUp(spool.TimedOut) }
+	n.l.Arm(&a.timer, a.until-now)
+	p := n.pools[s.Cache]
+	if p == nil {
+		p = &pool{n: n, id: s.Cache, address: n.core.Address(s.Cache)}
+		n.pools[s.Cache] = p
+	}
+	a.p = p
+	p.held++
+	c := p.pick(r.ID)
+	if c == nil {
+		a.end(spool.Moot, spool.NoteNone, 0)
+		return
+	}
+	a.c = c
+	c.pend = append(c.pend, a)
+	if c.up {
+		c.flush()
+	}
+}
+
+// giveUp ends the wait for an attempt: nothing of it comes back any more.
+func (a *attempt) giveUp(result spool.Result) {
+	if a.done {
+		return
+	}
+	c := a.c
+	if result == spool.TimedOut && !a.written {
+		result = spool.ConnectFailed // nothing of it can have run
+	}
+	switch {
+	case c == nil:
+	case c.writing == a: // a part of it is there: the rest would have to follow
+		a.leave()
+		c.fail(spool.Reset)
+	case a.written:
+		a.leave()
+		c.stop(a)
+	default:
+		a.leave()
+	}
+	a.end(result, spool.NoteNone, 0)
+}
+
+// leave takes the attempt off its connection.
+func (a *attempt) leave() {
+	c := a.c
+	if c == nil {
+		return
+	}
+	a.c = nil
+	same := func(b *attempt) bool { return b == a }
+	c.pend, c.open = slices.DeleteFunc(c.pend, same), slices.DeleteFunc(c.open, same)
+	if c.writing == a {
+		c.writing = nil
+	}
+}
+
+// end tells the module the outcome, once.
+func (a *attempt) end(result spool.Result, note spool.Note, waited float64) {
+	if a.done {
+		return
+	}
+	r := a.r
+	n := a.in
+	a.done = true
+	a.leave()
+	n.l.Forget(&a.timer)
+	if a.p != nil {
+		a.p.held--
+	}
+	r.out = nil
+	n.stats.Outcomes[result]++
+	last := r.c == nil
+	if last {
+		n.over(r)
+	}
+	n.tell(spool.Outcome{ID: r.ID, Cache: a.send.Cache, Attempt: a.n, Result: result,
+		Took: n.l.Now() - a.sent, Last: last, Note: note, Waited: waited})
+}
+
+// pool is the connections to one member, by its id: another one may come to have its address.
+type pool struct {
+	n       *Node
+	id      string
+	address string
+	conns   []*conn
+	held    int // attempts
+	gone    bool
+}
+
+// pick is the connection for another attempt of a request, nil if there can be none. One
+// request to a connection is the aim, since one spoilt answer ends all that share it.
+func (p *pool) pick(id string) *conn {
+	n := p.n
+	var idle, least *conn
+	for _, c := range p.conns {
+		load := len(c.open) + len(c.pend)
+		if c.retired || load >= p.streams() || slices.Contains(c.recent[:], id) {
+			continue
+		}
+		switch {
+		case load == 0 && c.up && loop.Quiet(c.fd):
+			if idle == nil || c.used > idle.used {
+				idle = c
+			}
+		case load > 0 && (least == nil || load < len(least.open)+len(least.pend)):
+			least = c
+		}
+	}
+	if idle != nil {
+		return idle
+	}
+	if n.conns < n.places.Members || n.room() {
+		if c := p.dial(); c != nil {
+			return c
+		}
+	}
+	return least
+}
+
+func (p *pool) streams() int {
+	if s := p.n.cfg.settings.Streams; s > 0 {
+		return s
+	}
+	return 1
+}
+
+// room closes the connection to members that was idle longest, if there is one.
+func (n *Node) room() bool {
+	var first *conn
+	for _, p := range n.pools {
+		for _, c := range p.conns {
+			if len(c.open)+len(c.pend) == 0 && c.up && (first == nil || c.used < first.used) {
+				first = c
+			}
+		}
+	}
+	if first != nil {
+		first.close()
+	}
+	return first != nil
+}
+
+func (p *pool) dial() *conn {
+	n := p.n
+	n.stats.Dials++
+	fd, _, err := loop.Dial(p.address)
+	if err != nil {
+		n.log.Debug("dial", zap.String("member", p.id), zap.Error(err))
+		return nil
+	}
+	c := &conn{p: p, fd: fd, used: n.l.Now()}
+	if err := n.l.Add(fd, loop.Read|loop.Write, c); err != nil {
+		closeFD(fd)
+		return nil
+	}
+	c.timer.F = func() { c.fail(spool.ConnectFailed) }
+	if t := n.cfg.settings.ConnectTimeout; t > 0 {
+		n.l.Arm(&c.timer, t)
+	}
+	n.conns++
+	p.conns = append(p.conns, c)
+	return c
+}
+
+// close ends the pool of a member that drains or is gone, once nothing is open there.
+func (p *pool) close() {
+	p.gone = true
+	for _, c := range slices.Clone(p.conns) {
+		if c.retired = true; len(c.open)+len(c.pend) == 0 {
+			c.close()
+		}
+	}
+	p.forget()
+}
+
+func (p *pool) forget() {
+	if p.gone && len(p.conns) == 0 && p.n.pools[p.id] == p {
+		delete(p.n.pools, p.id)
+	}
+}
+
+func (p *pool) sweep(now float64) {
+	for _, c := range slices.Clone(p.conns) {
+		if len(c.open)+len(c.pend) == 0 && c.up && limits.Rests(now-c.used, p.n.cfg.settings.ConnIdle) {
+			c.close()
+		}
+	}
+}
+
+// conn is one connection to a member.
+type conn struct {
+	p       *pool
+	fd      int
+	up      bool
+	closed  bool
+	retired bool // nothing new goes to it
+	in, out loop.Queue
+	pend    []*attempt // not begun to be written
+	writing *attempt   // in out, and not whole at the member yet
+	open    []*attempt // written whole
+	used    float64    // when it last was written to or read from
+	heard   float64    // when it was last read from
+	recent  [4]string  // requests that it had last: a copy of their answers may yet come
+	at      int
+	timer   loop.Timer
+}
+
+// OnReady is the loop's.
+func (c *conn) OnReady(r loop.Ready) {
+	if !c.up {
+		if !r.Writable() {
+			return
+		}
+		if e, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err != nil || e != 0 {
+			c.fail(spool.ConnectFailed)
+			return
+		}
+		c.up = true
+		c.p.n.l.Forget(&c.timer)
+		c.heard = c.p.n.l.Now()
+	}
+	if r.Readable() {
+		c.read()
+	}
+	if !c.closed {
+		c.flush()
+	}
+}
+
+// flush writes what is pending, one attempt after another, so that it is known of each
+// whether any of it, or all of it, went out.
+func (c *conn) flush() {
+	n := c.p.n
+	for !c.closed {
+		for c.out.Len() > 0 {
+			k, err := loop.WriteFD(c.fd, c.out.Bytes())
+			if err == errAgain {
+				n.l.Want(c.fd, loop.Read|loop.Write)
+				return
+			}
+			if err != nil {
+				c.fail(spool.Reset)
+				return
+			}
+			c.out.Take(&n.bufs, k)
+		}
+		if a := c.writing; a != nil {
+			a.written, c.writing = true, nil
+			c.open = append(c.open, a)
+		}
+		if len(c.pend) == 0 {
+			n.l.Want(c.fd, loop.Read)
+			return
+		}
+		a := c.pend[0]
+		c.pend = slices.Delete(c.pend, 0, 1)
+		c.writing, c.used = a, n.l.Now()
+		c.recent[c.at%len(c.recent)] = a.r.ID
+		c.at++
+		c.out.Add(&n.bufs, a.frame(n.l.Now()))
+	}
+}
+
+// frame is the attempt as the member reads it.
+func (a *attempt) frame(now float64) []byte {
+	s, r := &a.send, a.r
+	f := append([]byte("class="), r.Class...)
+	f = append(append(f, ",key="...), r.Key...)
+	f = strconv.AppendInt(append(f, ",part="...), int64(r.Part), 10)
+	f = strconv.AppendInt(append(f, ",wait="...), int64(max(a.until-now, 1)), 10)
+	if r.Once != "" {
+		f = append(append(f, ",once="...), r.Once...)
+	}
+	if s.Source != "" && s.Source != s.Cache {
+		f = append(append(f, ",miss="...), s.Source...)
+	}
+	if s.Keep > 0 {
+		f = strconv.AppendInt(append(f, ",prio="...), int64(s.Keep), 10)
+	}
+	if s.Age > 0 { // never rounded to 0, which would mean the default
+		f = strconv.AppendInt(append(f, ",within="...), int64(max(min(s.Age, math.MaxInt32), 1)), 10)
+	}
+	sep := ",f="
+	for _, w := range []struct {
+		on   bool
+		word string
+	}{{s.Join, "collapse"}, {s.Held, "only-if-cached"}, {s.Renew, "refresh"}} {
+		if w.on {
+			f = append(append(f, sep...), w.word...)
+			sep = "+"
+		}
+	}
+	if r.Seen != "" {
+		f = append(append(f, ",mine="...), r.Seen...)
+	}
+	return resp.Array(nil, []byte("REQ"), []byte(r.ID), f, r.Body)
+}
+
+// stop gives up an attempt that was written. A connection on which nothing came since is
+// not trusted with another: its member may have vanished.
+func (c *conn) stop(a *attempt) {
+	n := c.p.n
+	if c.closed {
+		return
+	}
+	if c.heard <= a.sent || c.writing != nil {
+		c.retired = true
+	}
+	if c.retired && len(c.open)+len(c.pend) == 0 && c.writing == nil {
+		c.close()
+		return
+	}
+	if c.writing != nil { // behind a part of another, the word would come late
+		c.fail(spool.Reset)
+		return
+	}
+	c.out.Add(&n.bufs, resp.Array(nil, []byte("STOP"), []byte(a.r.ID)))
+	c.flush()
+}
+
+// read takes answers.
+func (c *conn) read() {
+	n := c.p.n
+	room := n.scratch
+	if c.in.Len() > 0 {
+		room = c.in.Room()
+	}
+	k, err := loop.ReadFD(c.fd, room)
+	if err == errAgain {
+		return
+	}
+	if err != nil || k == 0 {
+		c.fail(spool.Reset)
+		return
+	}
+	c.heard, c.used = n.l.Now(), n.l.Now()
+	data, own := room[:k], c.in.Len() > 0
+	if own {
+		c.in.Filled(k)
+		data = c.in.Bytes()
+	}
+	used := 0
+	for !c.closed {
+		ans, size, want, err := resp.Read(data[used:])
+		if err != nil {
+			n.stats.Spoilt++
+			n.log.Debug("answer", zap.String("member", c.p.id), zap.Error(err))
+			c.fail(spool.Reset)
+			return
+		}
+		if size > 0 {
+			c.answer(ans)
+			used += size
+			continue
+		}
+		rest := data[used:]
+		if own {
+			c.in.Take(&n.bufs, used)
+		} else if len(rest) > 0 {
+			c.in.Add(&n.bufs, rest)
+		}
+		if len(rest) > 0 {
+			c.in.Grow(&n.bufs, max(want-len(rest), 1))
+		}
+		break
+	}
+	if !c.closed && c.retired && len(c.open)+len(c.pend) == 0 && c.writing == nil {
+		c.close()
+	}
+}
+
+var notes = map[string]spool.Note{"cached": spool.NoteHit, "fetched": spool.NoteFilled,
+	"fetched_root": spool.NoteFilledByOrigin, "merged": spool.NoteJoined, "past_fresh": spool.NoteStale,
+	"up_refused": spool.NoteSourceRefused, "up_lost": spool.NoteSourceUnreached, "up_empty": spool.NoteSourceLacks,
+	"fills_full": spool.NoteNoPlace, "root_failed": spool.NoteOriginFailed}
+
+var results = map[string]spool.Result{"HIT": spool.OK, "VALID": spool.OK, "NONE": spool.Miss, "SHED": spool.Full,
+	"FAULT": spool.Errored, "LATE": spool.Moot}
+
+// answer carries one answer to the module and, if it is the object, to the client.
+func (c *conn) answer(ans resp.Answer) {
+	n := c.p.n
+	i := slices.IndexFunc(c.open, func(a *attempt) bool { return a.r.ID == string(ans.ID) })
+	if i < 0 { // a second copy, or nobody's: what follows can be read all the same
+		n.stats.Extra++
+		return
+	}
+	a := c.open[i]
+	result, known := results[string(ans.Word)]
+	note, waited, entity, issued := spool.NoteNone, 0.0, false, false
+	whole := resp.Field(ans.Fields, func(name, value []byte) bool {
+		switch string(name) {
+		case "how":
+			note = notes[string(value)]
+		case "delay":
+			waited, _ = strconv.ParseFloat(string(value), 64)
+		case "entity":
+			entity = len(value) > 0
+		case "issued":
+			_, err := strconv.ParseInt(string(value), 10, 64)
+			issued = err == nil
+		}
+		return true
+	})
+	same := string(ans.Word) == "VALID"
+	r := a.r
+	if !known || !whole || result == spool.OK && !n.classes[r.Class].Write && (!entity || !issued) || same && (r.Seen == "" || len(ans.Body) > 0) {
+		n.stats.Spoilt++
+		n.log.Debug("answer", zap.String("member", c.p.id), zap.ByteString("word", ans.Word), zap.ByteString("fields", ans.Fields))
+		a.end(spool.Errored, spool.NoteNone, 0)
+		c.fail(spool.Reset)
+		return
+	}
+	if result == spool.OK && r.c != nil {
+		if n.stats.Served++; same {
+			n.stats.Same++
+		}
+		client := r.c
+		delete(client.open, r.seq)
+		r.c = nil
+		client.queue(n.codec.Served(r.seq, ans.Body, same))
+		a.end(result, note, waited)
+		client.flush()
+		return
+	}
+	a.end(result, note, waited)
+}
+
+// fail ends a connection that is of no use, and all that is open on it: what had been
+// written whole ends with result, the rest cannot have run.
+func (c *conn) fail(result spool.Result) {
+	if c.closed {
+		return
+	}
+	open, rest := slices.Clone(c.open), slices.Clone(c.pend)
+	if c.writing != nil {
+		rest = append(rest, c.writing)
+	}
+	c.open, c.pend, c.writing = nil, nil, nil
+	c.close()
+	for _, a := range open {
+		a.c = nil
+		a.end(result, spool.NoteNone, 0)
+	}
+	for _, a := range rest {
+		a.c = nil
+		a.end(spool.ConnectFailed, spool.NoteNone, 0)
+	}
+}
+
+func (c *conn) close() {
+	if c.closed {
+		return
+	}
+	n := c.p.n
+	c.closed = true
+	n.l.Remove(c.fd)
+	closeFD(c.fd)
+	n.l.Forget(&c.timer)
+	c.in.Drop(&n.bufs)
+	c.out.Drop(&n.bufs)
+	n.conns--
+	c.p.conns = slices.DeleteFunc(c.p.conns, func(d *conn) bool { return d == c })
+	c.p.forget()
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -16,8 +16,18 @@
 }
 
 type bornFields struct {
-	Seed uint64 `json:"init_seed"`
-	Boot *boot  `json:"boot_info"`
+	Seed uint64          `json:"init_seed"`
+	Boot json.RawMessage `json:"boot_info"`
+}
+
+// Settings is all that an instance is told at its start: what the module goes by, and
+// what only those on sockets need.
+type Settings struct {
+	Module         spool.Settings
+	Kinds          []string
+	ConnectTimeout float64 // ms
+	ConnIdle       float64 // ms after which members close idle connections; 0: not told
+	Streams        int     // attempts that a connection to a member carries at once; 0: not told
 }
 
 type boot struct {
@@ -42,9 +52,12 @@
 	Kinds  []string `json:"kinds"`
 	Limits struct {
 		Cancel        bool    `json:"cancel"`
+		ConnIdle      float64 `json:"conn_idle"`
+		ConnTimeout   float64 `json:"connect_timeout"`
 		MaxAttempts   int     `json:"max_attempts"`
 		MaxRetryAfter float64 `json:"max_retry_after"`
 		MostHeld      int     `json:"most_held"`
+		Multiplex     int     `json:"multiplex"`
 		Probing       bool    `json:"probing"`
 		RetryAfter    bool    `json:"retry_after"`
 		SecondCopies  bool    `json:"second_copies"`
@@ -98,7 +111,25 @@
 	if f.Boot == nil {
 		return nil, fmt.Errorf("no boot_info")
 	}
-	b, fam := f.Boot, f.Boot.Family
+	s, err := ParseSettings(f.Boot)
+	return Born{Seed: f.Seed, Settings: s.Module}, err
+}
+
+// ParseSettings reads the object of settings, of an instance's first message as of a
+// router's configuration. Whether they contradict themselves is the module's to say.
+func ParseSettings(raw json.RawMessage) (out Settings, err error) {
+	var b boot
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return out, err
+	}
+	out = Settings{Kinds: b.Kinds, ConnectTimeout: b.Limits.ConnTimeout, ConnIdle: b.Limits.ConnIdle,
+		Streams: b.Limits.Multiplex}
+	out.Module, err = module(&b)
+	return out, err
+}
+
+func module(b *boot) (spool.Settings, error) {
+	fam := &b.Family
 	s := spool.Settings{
 		Me: b.Me, Routers: b.Instances, Zone: b.Zone, Zones: b.Localities,
 		RoutersByZone: fam.Seats, HubOfZone: fam.HomeHub, LinkIn: map[string]float64{},
@@ -128,10 +159,10 @@
 	}
 	var err error
 	if s.Siblings, err = pick(scopes, fam.Neighbours, "neighbours"); err != nil {
-		return nil, err
+		return s, err
 	}
 	if s.Detail, err = pick(details, fam.Detail, "detail"); err != nil {
-		return nil, err
+		return s, err
 	}
 	for i, c := range b.Classes {
 		k := spool.Class{Name: c.Name, Aim: c.Aim, AimStretch: c.AimStretch, Deadline: c.GiveUp,
@@ -139,12 +170,12 @@
 			InParts: at(fam.InParts, i), Write: at(fam.ClassWrite, i),
 			Fresh: at(fam.Lifetime, i), Grace: at(fam.OlderBy, i), StaleWorth: at(fam.StaleEarns, i)}
 		if k.Effect, err = pick(effects, c.Idempotency, "idempotency"); err != nil {
-			return nil, err
+			return s, err
 		}
 		if k.Group, err = pick(scopes, c.Group, "group"); err != nil {
-			return nil, err
+			return s, err
 		}
 		s.Classes = append(s.Classes, k)
 	}
-	return Born{Seed: f.Seed, Settings: s}, nil
+	return s, nil
 }
