--- a/cmd/spool-router/node.go
+++ b/cmd/spool-router/node.go
@@ -18,14 +18,16 @@
 // nodeCommand is the router on the platform, told by its environment.
 func nodeCommand() *cobra.Command {
 	var line float64
+	var verbose bool
 	c := &cobra.Command{Use: "node", Short: "Serve on the platform, as NODE_CONFIG says, until SIGTERM; SIGHUP reads it again",
 		Example: "  NODE_CONFIG=config.json NODE_LISTEN=127.0.0.1:5050 spool-router node", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error { return serveNode(c.Context(), line) }}
+		RunE: func(c *cobra.Command, _ []string) error { return serveNode(c.Context(), line, verbose) }}
 	c.Flags().Float64Var(&line, "line", 0, "log a line of counts each so many milliseconds; 0: none")
+	c.Flags().BoolVar(&verbose, "verbose", false, "log each connection and answer that was turned down")
 	return c
 }
 
-func serveNode(ctx context.Context, line float64) error {
+func serveNode(ctx context.Context, line float64, verbose bool) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // before anything else: it must never end the program
 	runtime.GOMAXPROCS(1)
@@ -40,6 +42,9 @@
 	cli.Steady(cfg.Limits.MemoryMB)
 	logs := zap.NewProductionConfig()
 	logs.Sampling, logs.DisableStacktrace, logs.DisableCaller = nil, true, true
+	if verbose {
+		logs.Level.SetLevel(zap.DebugLevel)
+	}
 	log, err := logs.Build()
 	if err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,6 @@
 package node
 
 import (
-	"fmt"
 	"math"
 	"time"
 
@@ -56,13 +55,6 @@
 	stats    Stats
 }
 
-// Stats counts what passed. Gauges are in the log line only.
-type Stats struct {
-	Requests, Bad, Served, Same, Refused, Failed, Gone, Attempts uint64
-	Outcomes                                                     [int(spool.Miss) + 1]uint64
-	Spoilt, Extra, Dials, Accepted, Closed, Events               uint64
-}
-
 // request is a client's request in hand.
 type request struct {
 	front.Request
@@ -316,22 +308,3 @@
 // 400, and requests on them for 200 more.
 const drainLeast = 900
 
-// Line logs what passed and what is held, once each span in ms, for as long as it runs.
-func (n *Node) Line(span float64) {
-	n.l.Ticker(span, func() {
-		s := &n.stats
-		held := map[string]int{}
-		for id, p := range n.pools {
-			if p.held > 0 {
-				held[id] = p.held
-			}
-		}
-		n.log.Info("second", zap.Uint64("requests", s.Requests), zap.Uint64("bad", s.Bad), zap.Uint64("served", s.Served),
-			zap.Uint64("refused", s.Refused), zap.Uint64("failed", s.Failed), zap.Uint64("gone", s.Gone),
-			zap.Uint64("attempts", s.Attempts), zap.String("outcomes", fmt.Sprint(s.Outcomes)), zap.Uint64("spoilt", s.Spoilt),
-			zap.Uint64("extra", s.Extra), zap.Uint64("dials", s.Dials), zap.Uint64("accepted", s.Accepted),
-			zap.Uint64("events", s.Events), zap.Int("open", len(n.reqs)), zap.Int("clients", len(n.clients)),
-			zap.Int("conns", n.conns), zap.Int("pools", len(n.pools)), zap.Int("lent_kb", n.bufs.Used>>10),
-			zap.Int("waiting_kb", n.waiting>>10), zap.Float64("lag_ms", n.l.Lag()), zap.Any("held", held))
-	})
-}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -56,6 +56,7 @@
 	p.held++
 	c := p.pick(r.ID)
 	if c == nil {
+		n.stats.NoConn++
 		a.end(spool.Moot, spool.NoteNone, 0)
 		return
 	}
@@ -453,6 +454,10 @@
 	})
 	same := string(ans.Word) == "VALID"
 	r := a.r
+	if result == spool.Errored || result == spool.Moot {
+		n.log.Debug("answer", zap.String("member", c.p.id), zap.ByteString("word", ans.Word),
+			zap.ByteString("fields", ans.Fields), zap.Any("request", r.Request), zap.Any("send", a.send))
+	}
 	if !known || !whole || result == spool.OK && !n.classes[r.Class].Write && (!entity || !issued) || same && (r.Seen == "" || len(ans.Body) > 0) {
 		n.stats.Spoilt++
 		n.log.Debug("answer", zap.String("member", c.p.id), zap.ByteString("word", ans.Word), zap.ByteString("fields", ans.Fields))
