Unfit requests blame nobody, withdrawn ones are not begun, connections are shared out

Ruled out: the node's own lag (under 2 ms), descriptors, memory.

Module: an error from a second cache, with no source involved, is the request's fault; the first blame is taken back, and the request ends. Node: a call withdrawn in the read it came with is not begun; a member has an equal share of connections before its requests share them; what is spoilt counts as an error of one attempt, not a reset of all (a reset weighs three times as much).

--- a/internal/limits/places.go
+++ b/internal/limits/places.go
@@ -25,6 +25,10 @@
 	return Places{Clients: c, Members: n - c}
 }
 
+// PerMember is how many connections one of so many members may have before its requests
+// share them: a flood to some leaves room for the others.
+func (p Places) PerMember(members int) int { return max(p.Members/max(members, 1), 2) }
+
 // WaitingBytes is how much may wait for clients and members that read slowly, of a
 // memory of so many bytes.
 func WaitingBytes(memory int) int { return max(int(float64(memory)*memoryPart), leastWaiting) }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -203,11 +203,13 @@
 		case front.Forget:
 			if c.open[call.Of] != nil {
 				open--
-			} else {
-				for i := range calls {
-					if calls[i].Verb == front.Serve && calls[i].Seq == call.Of {
-						open--
-					}
+				break
+			}
+			for i := range calls { // given up before it was begun: nobody need hear of it
+				if calls[i].Verb == front.Serve && calls[i].Seq == call.Of {
+					calls[i].Verb = front.Nothing
+					c.n.stats.Gone++
+					open--
 				}
 			}
 		}
@@ -226,6 +228,8 @@
 		}
 	case front.IsWell:
 		c.queue(n.codec.Well(call.Seq, n.drained == 0))
+	case front.Nothing:
+		c.last = call.Seq
 	case front.Serve:
 		c.last = call.Seq
 		q, err := front.Check(call, n.class)
--- a/internal/node/line.go
+++ b/internal/node/line.go
@@ -48,6 +48,6 @@
 			zap.Uint64("no_conn", s.NoConn), zap.Uint64("accepted", s.Accepted), zap.Uint64("events", s.Events),
 			zap.Int("open", len(n.reqs)), zap.Int("clients", len(n.clients)), zap.Int("conns", n.conns),
 			zap.Int("pools", len(n.pools)), zap.Int("lent_kb", n.bufs.Used>>10), zap.Int("waiting_kb", n.waiting>>10),
-			zap.Float64("lag_ms", n.l.Lag()), zap.String("members", fmt.Sprintf("%+v", believed)))
+			zap.Float64("lag_ms", n.l.Lag()), zap.String("link", fmt.Sprintf("%+v", m.Link)), zap.String("members", fmt.Sprintf("%+v", believed)))
 	})
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -159,7 +159,7 @@
 	if idle != nil {
 		return idle
 	}
-	if n.conns < n.places.Members || n.room() {
+	if len(p.conns) < n.places.PerMember(len(n.pools)) && (n.conns < n.places.Members || n.room()) {
 		if c := p.dial(); c != nil {
 			return c
 		}
@@ -395,7 +395,7 @@
 		if err != nil {
 			n.stats.Spoilt++
 			n.log.Debug("answer", zap.String("member", c.p.id), zap.Error(err))
-			c.fail(spool.Reset)
+			c.spoil(nil)
 			return
 		}
 		if size > 0 {
@@ -461,8 +461,7 @@
 	if !known || !whole || result == spool.OK && !n.classes[r.Class].Write && (!entity || !issued) || same && (r.Seen == "" || len(ans.Body) > 0) {
 		n.stats.Spoilt++
 		n.log.Debug("answer", zap.String("member", c.p.id), zap.ByteString("word", ans.Word), zap.ByteString("fields", ans.Fields))
-		a.end(spool.Errored, spool.NoteNone, 0)
-		c.fail(spool.Reset)
+		c.spoil(a)
 		return
 	}
 	if result == spool.OK && r.c != nil {
@@ -480,6 +479,19 @@
 	a.end(result, note, waited)
 }
 
+// spoil ends a connection on which an answer can't be used: that of a, or nil where it
+// can't be told whose. It ran, and the member is alive. The others that share the
+// connection are called off, since it is closed from here.
+func (c *conn) spoil(a *attempt) {
+	if a == nil && len(c.open) > 0 {
+		a = c.open[0]
+	}
+	if a != nil {
+		a.end(spool.Errored, spool.NoteNone, 0)
+	}
+	c.fail(spool.Cancelled)
+}
+
 // fail ends a connection that is of no use, and all that is open on it: what had been
 // written whole ends with result, the rest cannot have run.
 func (c *conn) fail(result spool.Result) {
--- a/router.go
+++ b/router.go
@@ -421,7 +421,7 @@
 func (r *Router) spent(q *request) bool {
 	late := q.ran != nil && (q.class.Effect == SingleShot ||
 		q.class.Effect == Guarded && r.now >= q.ranAt+q.class.Window-2*r.s.Tick)
-	return q.Deadline-r.now <= 2*r.s.Tick || len(q.tries) >= r.s.MaxAttempts || late ||
+	return q.unfit || q.Deadline-r.now <= 2*r.s.Tick || len(q.tries) >= r.s.MaxAttempts || late ||
 		!q.freely() && r.retries < 1
 }
 
@@ -851,7 +851,16 @@
 			r.apportion(a, 0.5)
 		}
 	case Errored:
-		r.apportion(a, 1)
+		switch {
+		case fill || q.erred == nil || q.erred == a.at:
+			r.apportion(a, 1)
+			if !fill {
+				q.erred = a.at
+			}
+		default: // two caches found fault with it, with no other involved: it is what it asks for
+			q.unfit, a.blamed = true, a.at
+			r.forgive(q.erred)
+		}
 	case ConnectFailed, Reset:
 		r.blame(a.at, 3, a)
 	case TimedOut:
@@ -909,6 +918,13 @@
 	}
 }
 
+// forgive takes back one fault, and the suspicion that rests on it. It guards against
+// requests that no cache can use: else a few of them make suspects of a whole location.
+func (r *Router) forgive(m *member) {
+	m.faults = max((m.faults-faultGain)/(1-faultGain), 0)
+	m.suspect = m.suspect && m.faults > faultLimit
+}
+
 // accuse takes the ordinary traffic from a member.
 func (r *Router) accuse(m *member) {
 	m.suspect, m.wins, m.trial = true, 0, false
--- a/state.go
+++ b/state.go
@@ -72,6 +72,8 @@
 	over, parked, stream bool
 	seat                 *member // the cache that missed it and is to be filled
 	sibling, stale       bool    // a sibling was asked; an old copy will do
+	erred                *member // the cache whose error it had, with no source involved
+	unfit                bool    // another one's too
 	ran                  *member // where the first attempt that may have run went
 	ranAt                Millis
 	rest                 Millis // those that turned it away are not asked again before
