Tests of the platform's router among stand-ins; members that are gone leave every table

internal/standin/platform.go: caches that speak RESP, a control feed and Thrift clients, on loopback. Tests without the bench: codecs at any split and fuzzed, 24 bad clients, 10 bad peers, second copies, feed breaks, gaps and silence, address reuse, reload, drain, and the module's held attempts against what is open on the sockets.

They go with the next list, when nothing is out there. Router.Held tells what the module takes to be out.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -178,6 +178,9 @@
 // Ranges are the caches' ranges of part indices.
 func (c *Core) Ranges() []spool.Range { return c.router.Ranges() }
 
+// Held is how many attempts the module takes each member to have in hand for it.
+func (c *Core) Held() map[string]float64 { return c.router.Held() }
+
 // Address is where a member is reached; empty when it was never listed with one.
 func (c *Core) Address(id string) string {
 	if m := c.members[id]; m != nil {
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,103 @@
+package feed
+
+import (
+	"encoding/binary"
+	"errors"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func frame(n uint64, kind byte, payload ...byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+	return append(append(binary.BigEndian.AppendUint64(b, n), kind), payload...)
+}
+
+func reader() *Reader { return &Reader{Zones: []string{"a", "b"}, Kinds: []string{"box", "parent"}} }
+
+var row = []byte{0, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x13, 0xba, 1, 1, 0, 0, 2, 0, 0, 0x0f, 0xa0, 0, 0, 1, 0x9a, 0, 0, 0, 5}
+
+func TestFrames(t *testing.T) {
+	purge := frame(2, objectPurge, 0x7f, 0x3a, 0x9c, 0x21, 0xe0, 0xb4, 0xd6, 0x55, 0, 0, 0, 0, 0, 0, 0, 9)
+	group := frame(3, groupPurge, 0, 17, 0, 0, 0, 0, 0, 0, 0, 8)
+	var got []Event
+	r := reader()
+	all := append(append(append(frame(1, wholeList, row...), frame(1, nothing)...), purge...), append(purge, group...)...)
+	if err := r.Take(all, func(e Event) { got = append(got, e) }); err != nil {
+		t.Fatal(err)
+	}
+	want := []Event{{N: 1, Listed: true, Full: true, Rows: []Row{{ID: "s-00c41f7a", Address: "10.1.0.9:5050", Zone: "b", Kind: "box", Cell: 2,
+		State: "draining", Weight: 4, Started: 0x019a00000005}}}, {N: 2, Object: "7f3a9c21e0b4d655", At: 9}, {N: 3, Group: 17, At: 8}}
+	if !reflect.DeepEqual(got, want) || r.Last != 3 {
+		t.Errorf("got %+v", got)
+	}
+	for name, b := range map[string][]byte{
+		"a gap": frame(5, groupPurge, 0, 17, 0, 0, 0, 0, 0, 0, 0, 8), "news that was missed": frame(4, nothing), "half a row": frame(4, changes, row[1:]...),
+		"a lying length": {0xff, 0xff, 0xff, 0xff}, "no room for a head": {0, 0, 0, 3}, "an unknown kind": frame(4, 9),
+		"an unknown state": frame(4, changes, append(append([]byte{}, row[:10]...), append([]byte{7}, row[11:]...)...)...),
+	} {
+		r := reader()
+		r.Last = 3
+		if err := r.Take(b, func(e Event) { t.Errorf("%s: told %+v", name, e) }); !errors.Is(err, ErrBroken) || r.Last != 3 {
+			t.Errorf("%s: %v, last %d", name, err, r.Last)
+		}
+	}
+}
+
+// TestBreaks: over any number of connections that break anywhere, and repeat anything,
+// each event comes once and in order.
+func TestBreaks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, last := reader(), uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "connections") {
+			from := binary.BigEndian.Uint64(r.Hello())
+			if from != last {
+				t.Fatalf("asked from %d, want %d", from, last)
+			}
+			var b []byte
+			for n := from + 1; n < from+4; n++ {
+				f := frame(n, groupPurge, 0, 1, 0, 0, 0, 0, 0, 0, 0, 1)
+				for range rapid.IntRange(1, 2).Draw(t, "times") {
+					b = append(b, f...)
+				}
+			}
+			b = b[:rapid.IntRange(0, len(b)).Draw(t, "until")]
+			for len(b) > 0 {
+				k := rapid.IntRange(1, len(b)).Draw(t, "read")
+				if err := r.Take(b[:k], func(e Event) {
+					if e.N != last+1 {
+						t.Fatalf("%d follows %d", e.N, last)
+					}
+					last = e.N
+				}); err != nil {
+					t.Fatal(err)
+				}
+				b = b[k:]
+			}
+		}
+	})
+}
+
+func TestKnown(t *testing.T) {
+	const doc = `{"n":3,"events":[{"n":1,"members":{"index":7,"endpoints":[{"name":"s-00c41f7a","address":"10.1.0.9:5050","zone":"a",
+	 "type":"box","group":2,"status":"ready","weight":4,"since_ms":0}]}},{"n":2,"purge":{"key":"7f3a9c21e0b4d655","at":9}},{"n":3,"purge":{"group":17,"at":8}}]}`
+	r, n := reader(), 0
+	count := func(e Event) {
+		if n++; e.N == 1 && (!e.Full || e.Rows[0].Weight != 4) || e.N == 2 && e.Object == "" || e.N == 3 && e.Group != 17 {
+			t.Errorf("%+v", e)
+		}
+	}
+	for range 2 { // the second time all of it is old
+		if err := r.Known([]byte(doc), count); err != nil || n != 3 || r.Last != 3 {
+			t.Fatalf("%v, %d events, last %d", err, n, r.Last)
+		}
+	}
+	for _, bad := range []string{"", "[]", `{"n":9,"events":[{"n":8,"purge":{"group":1}},{"n":9}]}`,
+		`{"n":9,"events":[{"n":9,"members":{"endpoints":[{"name":"a b","address":"10.1.0.9:5050","status":"ready"}]}}]}`,
+		`{"n":9,"events":[{"n":9,"members":{"endpoints":[{"name":"a","address":"there","status":"ready"}]}}]}`} {
+		if err := r.Known([]byte(bad), func(e Event) { t.Errorf("%s: told %+v", bad, e) }); err == nil || r.Last != 3 {
+			t.Errorf("%s: taken, last %d", bad, r.Last)
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,115 @@
+package front
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	spool "indigospool"
+)
+
+// serve writes a call of serve by the codec's own writer.
+func serve(c *Codec, seq int32, fields []string, body []byte) []byte {
+	c.begin("serve", 1, seq)
+	c.writeFields(1, fields)
+	c.w.WriteFieldBegin(ctx, "", 11, 2)
+	c.w.WriteBinary(ctx, body)
+	c.w.WriteFieldStop(ctx)
+	return bytes.Clone(c.end())
+}
+
+// TestAnySplit: calls come out the same however their bytes are split.
+func TestAnySplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewCodec()
+		var all []byte
+		n := rapid.IntRange(1, 4).Draw(t, "calls")
+		bodies := [][]byte{}
+		for i := range n {
+			bodies = append(bodies, rapid.SliceOfN(rapid.Byte(), 0, 2000).Draw(t, "body"))
+			all = append(all, serve(c, int32(i+1), []string{"id", "x", "key", "y"}, bodies[i])...)
+		}
+		var buf []byte
+		got := 0
+		for len(all) > 0 {
+			k := rapid.IntRange(1, len(all)).Draw(t, "read")
+			buf, all = append(buf, all[:k]...), all[k:]
+			for {
+				p, size, err := Split(buf)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if size == 0 {
+					break
+				}
+				call, err := c.Parse(p)
+				if err != nil || call.Verb != Serve || int(call.Seq) != got+1 || call.Fields["key"] != "y" || !bytes.Equal(call.Body, bodies[got]) {
+					t.Fatalf("call %d: %+v %v", got, call, err)
+				}
+				got++
+				buf = buf[size:]
+			}
+		}
+		if got != n {
+			t.Fatalf("%d calls of %d", got, n)
+		}
+	})
+}
+
+// FuzzParse: whatever comes is a call or unreadable, and takes no memory beyond itself.
+func FuzzParse(f *testing.F) {
+	c := NewCodec()
+	f.Add(serve(c, 1, []string{"id", "9b1f03aa5c7e2d41"}, []byte("body")))
+	f.Add(bytes.Clone(c.Well(7, true)))
+	f.Add([]byte{0, 0, 0, 12, 0x80, 1, 0, 1, 0x7f, 0xff, 0xff, 0xff, 's', 'e', 'r', 'v'})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, size, err := Split(b)
+		if err != nil && !errors.Is(err, ErrUnreadable) || size > len(b) {
+			t.Fatalf("%d bytes of %d: %v", size, len(b), err)
+		}
+		if size == 0 {
+			return
+		}
+		call, err := c.Parse(p)
+		if err != nil && !errors.Is(err, ErrUnreadable) {
+			t.Fatal(err)
+		}
+		n := len(call.Body)
+		for k, v := range call.Fields {
+			n += len(k) + len(v)
+		}
+		if n > len(b) {
+			t.Fatalf("%d bytes out of %d", n, len(b))
+		}
+		Check(&call, func(string) *spool.Class { return &spool.Class{Deadline: 1000} })
+	})
+}
+
+func TestCheckBounds(t *testing.T) {
+	classes := map[string]*spool.Class{"r": {Deadline: 1000}, "w": {Deadline: 1000, Effect: spool.Guarded, Write: true}}
+	ask := func(class, wait, slice, set, once string, body int) error {
+		call := Call{Fields: map[string]string{"id": "9b1f03aa5c7e2d41", "key": "9b1f03aa5c7e2d41", "class": class, "wait": wait,
+			"slice": slice, "set": set, "once": once}, Body: make([]byte, body)}
+		_, err := Check(&call, func(n string) *spool.Class { return classes[n] })
+		return err
+	}
+	once := "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+	for _, c := range []struct {
+		class, wait, slice, set, once string
+		body                          int
+		good                          bool
+	}{
+		{"r", "1", "0", "0", "", 0, true}, {"r", "1000", "19", "255", "", 0, true}, {"w", "1000", "0", "0", once, MaxWrite, true},
+		{"r", "0", "0", "0", "", 0, false}, {"r", "1002", "0", "0", "", 0, false}, {"r", "+5", "0", "0", "", 0, false},
+		{"r", "1e3", "0", "0", "", 0, false}, {"r", "99999999999999999999", "0", "0", "", 0, false},
+		{"r", "5", "65537", "0", "", 0, false}, {"r", "5", "0", "256", "", 0, false}, {"r", "5", "0", "0", once, 0, false},
+		{"r", "5", "0", "0", "", 1, false}, {"w", "5", "0", "0", once, MaxWrite + 1, false}, {"w", "5", "0", "0", "", 0, false},
+		{"x", "5", "0", "0", "", 0, false},
+	} {
+		if err := ask(c.class, c.wait, c.slice, c.set, c.once, c.body); (err == nil) != c.good {
+			t.Errorf("%+v: %v", c, err)
+		}
+	}
+}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -673,3 +673,38 @@
 		t.Errorf("room of %d", n)
 	}
 }
+
+func TestPlaces(t *testing.T) {
+	for _, n := range []int{32, 256, 1024} {
+		p := NewPlaces(n)
+		if p.Clients+p.Members > n || p.Clients < n/10 || p.Members < 2 || n >= 256 && p.Clients < n/3 {
+			t.Errorf("%d descriptors: %+v", n, p)
+		}
+		if k := p.PerMember(4); k < 1 || k*4 > max(p.Members, 8) {
+			t.Errorf("%d descriptors: %d to a member of 4", n, k)
+		}
+	}
+	now := 100000.0
+	for _, c := range []struct {
+		name string
+		v    Visitor
+		goes bool
+	}{
+		{"just came", Visitor{Since: now - 1000}, false},
+		{"says nothing", Visitor{Since: now - 2500}, true},
+		{"says half", Visitor{Since: now - 9000, Last: now - 3000, Half: now - 2500, Messages: 3, Open: 1}, true},
+		{"waits for an answer", Visitor{Since: now - 9000, Last: now - 9000, Messages: 3, Open: 1}, false},
+		{"takes no answer", Visitor{Since: now - 9000, Last: now, Stuck: now - 3000, Messages: 3, Open: 1}, true},
+		{"between two requests", Visitor{Since: now - 9000, Last: now - 3900, Messages: 3}, false},
+		{"asked once and stays", Visitor{Since: now - 9000, Last: now - 8000, Messages: 1}, true},
+	} {
+		if c.v.Overstays(now) != c.goes {
+			t.Errorf("%s: goes is %v", c.name, !c.goes)
+		}
+	}
+	busy, silent := &Visitor{Open: 1, Messages: 9}, &Visitor{Since: 500}
+	early, late := &Visitor{Last: 100, Messages: 2}, &Visitor{Last: 200, Messages: 2}
+	if busy.Yields(nil) || !silent.Yields(early) || early.Yields(silent) || !early.Yields(late) || late.Yields(early) || !late.Yields(busy) {
+		t.Error("the wrong one yields")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -307,4 +307,3 @@
 // drainLeast is how long after SIGTERM clients may still come, in ms: connections for
 // 400, and requests on them for 200 more.
 const drainLeast = 900
-
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,90 @@
+package resp
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func word(t *rapid.T, name string, most int) []byte {
+	return rapid.SliceOfN(rapid.Byte(), 0, most).Draw(t, name)
+}
+
+// TestAnySplit: answers come out the same however their bytes are split, and none comes
+// before it is whole.
+func TestAnySplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []byte
+		var want []Answer
+		for range rapid.IntRange(1, 4).Draw(t, "answers") {
+			a := Answer{word(t, "id", 64), word(t, "word", 16), word(t, "fields", 200), word(t, "body", 3000)}
+			want = append(want, a)
+			all = Array(all, a.ID, a.Word, a.Fields, a.Body)
+		}
+		var got []Answer
+		var buf []byte
+		for len(all) > 0 {
+			n := rapid.IntRange(1, len(all)).Draw(t, "read")
+			buf, all = append(buf, all[:n]...), all[n:]
+			for {
+				a, size, more, err := Read(buf)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if size == 0 {
+					if more <= len(buf) {
+						t.Fatalf("%d bytes are there, and %d are wanted", len(buf), more)
+					}
+					break
+				}
+				got = append(got, Answer{bytes.Clone(a.ID), bytes.Clone(a.Word), bytes.Clone(a.Fields), bytes.Clone(a.Body)})
+				buf = buf[size:]
+			}
+		}
+		if len(got) != len(want) {
+			t.Fatalf("%d answers of %d", len(got), len(want))
+		}
+		for i := range want {
+			if !bytes.Equal(got[i].Body, want[i].Body) || !bytes.Equal(got[i].ID, want[i].ID) ||
+				!bytes.Equal(got[i].Fields, want[i].Fields) || !bytes.Equal(got[i].Word, want[i].Word) {
+				t.Fatalf("answer %d is another", i)
+			}
+		}
+	})
+}
+
+// FuzzRead: whatever comes, no more is wanted than the bounds allow.
+func FuzzRead(f *testing.F) {
+	f.Add(Array(nil, []byte("id"), []byte("HIT"), []byte("-"), []byte("x")))
+	f.Add([]byte("*4\r\n$16\r\n"))
+	f.Add([]byte("*4\r\n$3000000000\r\n"))
+	f.Add([]byte("*\r\n$-1\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, size, want, err := Read(b)
+		switch {
+		case err != nil && !errors.Is(err, ErrSpoilt):
+			t.Fatal(err)
+		case err == nil && size == 0 && (want <= len(b) || want > len(b)+MaxBody+4096+200):
+			t.Fatalf("%d bytes are there, and %d are wanted", len(b), want)
+		case size > len(b) || len(a.Body) > MaxBody:
+			t.Fatalf("an answer of %d bytes out of %d", size, len(b))
+		}
+		Field(a.Fields, func(name, _ []byte) bool {
+			if len(name) == 0 {
+				t.Fatal("a field without a name")
+			}
+			return true
+		})
+	})
+}
+
+func TestSpoilt(t *testing.T) {
+	for _, b := range []string{"x", "*9\r\n", "*1\r\n", "*4\n", "*4\r\n:1\r\n", "*4\r\n$65\r\n", "*4\r\n$1\r\nxyz", "*1234567890123456",
+		"*4\r\n$1\r\nx\r\n$3\r\nHIT\r\n$1\r\n-\r\n$240001\r\n"} {
+		if _, _, _, err := Read([]byte(b)); !errors.Is(err, ErrSpoilt) {
+			t.Errorf("%q: %v", b, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,351 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apache/thrift/lib/go/thrift"
+
+	"indigospool/internal/resp"
+)
+
+// The platform's outside, for tests of internal/node: caches, parents and origins that
+// speak RESP, the control feed, and clients that speak Thrift. Each is a few goroutines
+// on loopback; what passed on its sockets is what tests go by.
+
+// PlatformRequest is what a cache was asked: an attempt or, with Stop, the end of one.
+type PlatformRequest struct {
+	ID     string
+	Fields map[string]string
+	Body   []byte
+	Stop   bool
+}
+
+// PlatformConn is one connection of a router to a cache.
+type PlatformConn struct {
+	net.Conn
+	N int // connections are numbered from 0
+}
+
+// Answer writes an answer.
+func (c *PlatformConn) Answer(id, word, fields string, body []byte) {
+	c.Write(resp.Array(nil, []byte(id), []byte(word), []byte(fields), body))
+}
+
+// Hit answers with bytes that were given out now.
+func (c *PlatformConn) Hit(id string, body []byte) {
+	c.Answer(id, "HIT", fmt.Sprintf("how=cached,entity=t1,issued=%d", time.Now().UnixMilli()), body)
+}
+
+// Reset ends the connection as a dying process does.
+func (c *PlatformConn) Reset() {
+	c.Conn.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// PlatformCache is a cache, a parent or an origin. On is called for each request, one at
+// a time; it may keep the connection to answer later.
+type PlatformCache struct {
+	Addr string
+	On   func(c *PlatformConn, q PlatformRequest)
+
+	mu    sync.Mutex
+	ln    net.Listener
+	open  map[string]int // attempts by id that have come and neither ended nor been given up
+	conns int
+	seen  []PlatformRequest
+}
+
+// NewPlatformCache listens at an address; port 0 is the kernel's choice.
+func NewPlatformCache(address string, on func(*PlatformConn, PlatformRequest)) (*PlatformCache, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &PlatformCache{Addr: ln.Addr().String(), On: on, ln: ln, open: map[string]int{}}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			pc := &PlatformConn{Conn: c, N: p.conns}
+			p.conns++
+			p.mu.Unlock()
+			go p.serve(pc)
+		}
+	}()
+	return p, nil
+}
+
+// Close ends listening; connections stay.
+func (p *PlatformCache) Close() { p.ln.Close() }
+
+// Seen is all that was asked so far.
+func (p *PlatformCache) Seen() []PlatformRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]PlatformRequest(nil), p.seen...)
+}
+
+// Conns counts the connections so far.
+func (p *PlatformCache) Conns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns
+}
+
+// Open counts the attempts that are out here: come whole, and neither answered, given
+// up, nor ended with their connection.
+func (p *PlatformCache) Open() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, k := range p.open {
+		n += k
+	}
+	return n
+}
+
+// Done marks an attempt as ended by the cache.
+func (p *PlatformCache) Done(id string) { p.count(id, -1) }
+
+func (p *PlatformCache) count(id string, d int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[id] += d; p.open[id] <= 0 {
+		delete(p.open, id)
+	}
+}
+
+func (p *PlatformCache) serve(c *PlatformConn) {
+	mine := map[string]bool{}
+	defer func() {
+		for id := range mine {
+			p.count(id, -1)
+		}
+		c.Close()
+	}()
+	var buf []byte
+	room := make([]byte, 64<<10)
+	for {
+		k, err := c.Read(room)
+		if err != nil {
+			return
+		}
+		buf = append(buf, room[:k]...)
+		for {
+			a, size, _, err := resp.Read(buf) // a request has the form of an answer
+			if err != nil {
+				return
+			}
+			if size == 0 {
+				break
+			}
+			q := PlatformRequest{ID: string(a.Word), Body: bytes.Clone(a.Body), Stop: string(a.ID) == "STOP", Fields: map[string]string{}}
+			resp.Field(a.Fields, func(name, value []byte) bool { q.Fields[string(name)] = string(value); return true })
+			buf = buf[size:]
+			p.mu.Lock()
+			p.seen = append(p.seen, q)
+			if q.Stop {
+				delete(p.open, q.ID)
+				delete(mine, q.ID)
+			} else {
+				p.open[q.ID]++
+				mine[q.ID] = true
+			}
+			p.mu.Unlock()
+			p.On(c, q)
+		}
+	}
+}
+
+// PlatformFeed is the control feed. Each connection says what it has, and On writes
+// what it will.
+type PlatformFeed struct {
+	Addr string
+	ln   net.Listener
+}
+
+// NewPlatformFeed listens; on gets each connection, with the number that it began with.
+func NewPlatformFeed(on func(c net.Conn, last uint64)) (*PlatformFeed, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				var b [8]byte
+				if _, err := io.ReadFull(c, b[:]); err == nil {
+					on(c, binary.BigEndian.Uint64(b[:]))
+				}
+			}()
+		}
+	}()
+	return &PlatformFeed{Addr: ln.Addr().String(), ln: ln}, nil
+}
+
+// Close ends listening.
+func (f *PlatformFeed) Close() { f.ln.Close() }
+
+// PlatformFrame is one frame of the feed.
+func PlatformFrame(n uint64, kind byte, payload []byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+	return append(append(binary.BigEndian.AppendUint64(b, n), kind), payload...)
+}
+
+// PlatformClient is one connection of a client.
+type PlatformClient struct {
+	net.Conn
+	seq int32
+}
+
+// DialPlatform connects as a client.
+func DialPlatform(address string) (*PlatformClient, error) {
+	c, err := net.DialTimeout("tcp", address, 5*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &PlatformClient{Conn: c}, nil
+}
+
+// PlatformCall is the frame of a call of serve, or of another name without arguments.
+func PlatformCall(name string, seq int32, fields map[string]string, body []byte) []byte {
+	ctx, m := context.Background(), thrift.NewTMemoryBuffer()
+	w := thrift.NewTBinaryProtocolConf(m, &thrift.TConfiguration{})
+	m.Write([]byte{0, 0, 0, 0})
+	w.WriteMessageBegin(ctx, name, thrift.CALL, seq)
+	if name == "serve" {
+		w.WriteFieldBegin(ctx, "", thrift.MAP, 1)
+		w.WriteMapBegin(ctx, thrift.STRING, thrift.STRING, len(fields))
+		for k, v := range fields {
+			w.WriteString(ctx, k)
+			w.WriteString(ctx, v)
+		}
+		w.WriteFieldBegin(ctx, "", thrift.STRING, 2)
+		w.WriteBinary(ctx, body)
+	}
+	w.WriteFieldStop(ctx)
+	b := m.Bytes()
+	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	return b
+}
+
+// PlatformForget is the frame that gives a call up.
+func PlatformForget(seq, of int32) []byte {
+	ctx, m := context.Background(), thrift.NewTMemoryBuffer()
+	w := thrift.NewTBinaryProtocolConf(m, &thrift.TConfiguration{})
+	m.Write([]byte{0, 0, 0, 0})
+	w.WriteMessageBegin(ctx, "forget", thrift.ONEWAY, seq)
+	w.WriteFieldBegin(ctx, "", thrift.I32, 1)
+	w.WriteI32(ctx, of)
+	w.WriteFieldStop(ctx)
+	b := m.Bytes()
+	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	return b
+}
+
+// PlatformResult is a router's answer: served, refused, failed or exception.
+type PlatformResult struct {
+	Seq    int32
+	Word   string
+	Body   []byte
+	Fields map[string]string
+	Good   bool
+}
+
+// Ask writes a call of serve under the next number.
+func (c *PlatformClient) Ask(fields map[string]string, body []byte) (int32, error) {
+	c.seq++
+	_, err := c.Write(PlatformCall("serve", c.seq, fields, body))
+	return c.seq, err
+}
+
+// Well asks isWell.
+func (c *PlatformClient) Well() (bool, error) {
+	c.seq++
+	if _, err := c.Write(PlatformCall("isWell", c.seq, nil, nil)); err != nil {
+		return false, err
+	}
+	r, err := c.Result(5 * time.Second)
+	return r.Good, err
+}
+
+// Result reads the next answer, within so long.
+func (c *PlatformClient) Result(within time.Duration) (r PlatformResult, err error) {
+	c.SetReadDeadline(time.Now().Add(within))
+	var head [4]byte
+	if _, err := io.ReadFull(c, head[:]); err != nil {
+		return r, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > 1<<20 {
+		return r, fmt.Errorf("standin: an answer of %d bytes", n)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(c, b); err != nil {
+		return r, err
+	}
+	return readResult(b)
+}
+
+func readResult(b []byte) (r PlatformResult, err error) {
+	ctx, m := context.Background(), thrift.NewTMemoryBuffer()
+	m.Write(b)
+	p := thrift.NewTBinaryProtocolConf(m, &thrift.TConfiguration{TBinaryStrictRead: thrift.BoolPtr(true)})
+	_, kind, seq, err := p.ReadMessageBegin(ctx)
+	if r.Seq = seq; err != nil || kind == thrift.EXCEPTION {
+		r.Word = "exception"
+		return r, err
+	}
+	_, t, id, err := p.ReadFieldBegin(ctx)
+	if err != nil || t != thrift.STRUCT || id < 0 || id > 2 {
+		return r, errors.Join(err, fmt.Errorf("standin: a result of field %d, type %d", id, t))
+	}
+	r.Word = [...]string{"served", "refused", "failed"}[id]
+	r.Fields = map[string]string{}
+	for {
+		_, t, _, err := p.ReadFieldBegin(ctx)
+		if err != nil || t == thrift.STOP {
+			break
+		}
+		switch t {
+		case thrift.STRING:
+			r.Body, err = p.ReadBinary(ctx)
+		case thrift.BOOL:
+			r.Good, err = p.ReadBool(ctx)
+		case thrift.MAP:
+			_, _, n, e := p.ReadMapBegin(ctx)
+			if err = e; e != nil {
+				break
+			}
+			for range n {
+				k, _ := p.ReadString(ctx)
+				r.Fields[strings.Clone(k)], err = p.ReadString(ctx)
+			}
+		default:
+			err = p.Skip(ctx, t)
+		}
+		if err != nil {
+			return r, err
+		}
+	}
+	if _, _, _, err = p.ReadFieldBegin(ctx); err != nil || m.Len() > 0 {
+		return r, fmt.Errorf("standin: a result that does not end (%d bytes left): %v", m.Len(), err)
+	}
+	return r, nil
+}
--- a/router.go
+++ b/router.go
@@ -176,9 +176,10 @@
 		m.Member, m.hash, m.role = row, hashString(row.ID), r.roleOf(row)
 		m.gone = row.State != Serving
 	}
-	for id, m := range r.members {
+	maps.DeleteFunc(r.members, func(id string, m *member) bool { // ids of those removed never come again
 		m.gone = m.gone || ev.Full && !named[id]
-	}
+		return m.gone && m.State != Draining && m.held <= 0
+	})
 	r.file()
 }
 
@@ -851,15 +852,11 @@
 			r.apportion(a, 0.5)
 		}
 	case Errored:
-		switch {
-		case fill || q.erred == nil || q.erred == a.at:
-			r.apportion(a, 1)
-			if !fill {
-				q.erred = a.at
-			}
-		default: // two caches found fault with it, with no other involved: it is what it asks for
+		if !fill && q.erred != nil && q.erred != a.at { // two caches, and no other: it is what it asks for
 			q.unfit, a.blamed = true, a.at
 			r.forgive(q.erred)
+		} else if r.apportion(a, 1); !fill {
+			q.erred = a.at
 		}
 	case ConnectFailed, Reset:
 		r.blame(a.at, 3, a)
--- a/router_test.go
+++ b/router_test.go
@@ -768,3 +768,44 @@
 		t.Errorf("roles by the old kinds: %d parents, %d edges", len(g.r.byRole[parent]), len(g.r.byRole[edge]))
 	}
 }
+
+// TestUnfitRequest: a request that two caches find fault with, with no source involved,
+// is ended, and makes no suspect of either, however many come; one cache that fails
+// what others serve still becomes one.
+func TestUnfitRequest(t *testing.T) {
+	g := newRig(t, testSettings())
+	for range 30 {
+		id, acts := g.ask("page", "nothing fits it", 0)
+		first := sends(acts)[0]
+		acts = g.do(Outcome{ID: id, Cache: first.Cache, Result: Errored})
+		second := sends(acts)
+		if len(second) != 1 || second[0].Cache == first.Cache {
+			t.Fatalf("after one error: %+v", acts)
+		}
+		acts = g.do(Outcome{ID: id, Attempt: 1, Cache: second[0].Cache, Result: Errored})
+		if len(acts) != 1 || acts[0] != Action(Refuse{ID: id, After: refuseAdvice}) {
+			t.Fatalf("after two: %+v", acts)
+		}
+	}
+	for _, m := range g.r.members {
+		if m.suspect {
+			t.Errorf("%s is a suspect", m.ID)
+		}
+	}
+	_, acts := g.ask("page", "x", 0)
+	bad := sends(acts)[0].Cache
+	for i := range 30 {
+		id, acts := g.ask("page", fmt.Sprint("y", i), 0)
+		for n := 0; len(sends(acts)) > 0; n++ {
+			s := sends(acts)[0]
+			result := OK
+			if s.Cache == bad {
+				result = Errored
+			}
+			acts = g.do(Outcome{ID: id, Attempt: n, Cache: s.Cache, Result: result, Last: result == OK})
+		}
+	}
+	if !g.r.members[bad].suspect {
+		t.Errorf("%s fails all that others serve, and is no suspect", bad)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -163,6 +163,17 @@
 	return out
 }
 
+// Held is how many attempts the router takes each member to have in hand for it.
+func (r *Router) Held() map[string]float64 {
+	out := map[string]float64{}
+	for id, m := range r.members {
+		if m.held > 0 {
+			out[id] = m.held
+		}
+	}
+	return out
+}
+
 func total(cost []float64) (sum float64) {
 	for _, c := range cost {
 		sum += c
