Logs never hold the loop up; a connection that has sent something is not closed for room

Checked and ruled out: client connections closed by the node (none in the logs), refused connections (TestRefusedConnections), memory, descriptors (309 of 384). Now internal/logq, moved down from edge, stands between: a bounded queue, lines dropped and counted.

--- a/cmd/spool-router/node.go
+++ b/cmd/spool-router/node.go
@@ -7,14 +7,22 @@
 	"os/signal"
 	"runtime"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"indigospool/internal/cli"
+	"indigospool/internal/logq"
 	"indigospool/internal/node"
 )
 
+const (
+	logLines = 1024 // that wait for whoever reads the log
+	logWait  = 200 * time.Millisecond
+)
+
 // nodeCommand is the router on the platform, told by its environment.
 func nodeCommand() *cobra.Command {
 	var line float64
@@ -40,16 +48,19 @@
 		return err
 	}
 	cli.Steady(cfg.Limits.MemoryMB)
-	logs := zap.NewProductionConfig()
-	logs.Sampling, logs.DisableStacktrace, logs.DisableCaller = nil, true, true
+	level := zapcore.InfoLevel
 	if verbose {
-		logs.Level.SetLevel(zap.DebugLevel)
+		level = zapcore.DebugLevel
 	}
-	log, err := logs.Build()
-	if err != nil {
-		return err
-	}
-	defer log.Sync()
+	out := logq.New(os.Stderr, logLines)
+	defer func() { // what is left is written, unless nobody reads it
+		out.End()
+		select {
+		case <-out.Done():
+		case <-time.After(logWait):
+		}
+	}()
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, level))
 	log = log.With(zap.String("node", os.Getenv("NODE_NAME")))
 	n, err := node.Open(file, os.Getenv("NODE_LISTEN"), log)
 	if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -178,8 +178,8 @@
 // Ranges are the caches' ranges of part indices.
 func (c *Core) Ranges() []spool.Range { return c.router.Ranges() }
 
-// Held is how many attempts the module takes each member to have in hand for it.
-func (c *Core) Held() map[string]float64 { return c.router.Held() }
+// Beliefs is what the module holds of each member, and of the location's link.
+func (c *Core) Beliefs() (map[string]spool.Belief, spool.Belief) { return c.router.Beliefs() }
 
 // Address is where a member is reached; empty when it was never listed with one.
 func (c *Core) Address(id string) string {
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -5,8 +5,6 @@
 	"io"
 	"os"
 	"strconv"
-	"sync"
-	"sync/atomic"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -14,6 +12,7 @@
 	spool "indigospool"
 	"indigospool/internal/config"
 	"indigospool/internal/limits"
+	"indigospool/internal/logq"
 )
 
 // endWord says why a request ended, in a few stable words: docs/operating.md.
@@ -69,40 +68,7 @@
 type AccessLog struct {
 	access *zap.Logger
 	Log    *zap.Logger // the router's own messages
-	q      *queue
-}
-
-// queue is a bounded queue of written lines.
-type queue struct {
-	lines   chan []byte
-	w       io.Writer
-	dropped atomic.Uint64
-	done    chan struct{}
-	once    sync.Once
-}
-
-// Write queues a line; it never blocks.
-func (q *queue) Write(b []byte) (int, error) {
-	select {
-	case q.lines <- append([]byte(nil), b...):
-	default:
-		q.dropped.Add(1)
-	}
-	return len(b), nil
-}
-
-func (q *queue) Sync() error { return nil }
-
-func (q *queue) run() {
-	defer close(q.done)
-	var told uint64
-	for line := range q.lines {
-		q.w.Write(line)
-		if n := q.dropped.Load(); n > told {
-			fmt.Fprintf(q.w, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"dropped\":%d}\n", n-told)
-			told = n
-		}
-	}
+	q      *logq.Queue
 }
 
 // NewAccessLog opens the log that the settings name. Close ends it.
@@ -129,8 +95,7 @@
 	if w == nil {
 		return &AccessLog{access: zap.NewNop(), Log: zap.NewNop()}
 	}
-	q := &queue{lines: make(chan []byte, max(lines, 1)), w: w, done: make(chan struct{})}
-	go q.run()
+	q := logq.New(w, lines)
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
 	lv, err := zapcore.ParseLevel(level)
@@ -146,14 +111,13 @@
 	if a.q == nil {
 		return 0
 	}
-	return a.q.dropped.Load()
+	return a.q.Dropped()
 }
 
 // Close writes what is queued and ends the log.
 func (a *AccessLog) Close() {
 	if a.q != nil {
-		a.q.once.Do(func() { close(a.q.lines) })
-		<-a.q.done
+		a.q.Close()
 	}
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -72,7 +72,11 @@
 	var first *client
 	for c := range n.clients {
 		c.v.Open = len(c.open)
-		if first == nil && c.v.Open == 0 || first != nil && c.v.Yields(&first.v) {
+		var best *limits.Visitor
+		if first != nil {
+			best = &first.v
+		}
+		if c.v.Yields(best) && loop.Quiet(c.fd) { // what it has sent meanwhile was taken, and is owed an answer
 			first = c
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -291,7 +291,7 @@
 func (n *Node) sweep() {
 	now := n.l.Now()
 	for c := range n.clients {
-		if c.v.Open = len(c.open); c.v.Overstays(now) {
+		if c.v.Open = len(c.open); c.v.Overstays(now) && loop.Quiet(c.fd) {
 			c.close()
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	spool "indigospool"
 	"indigospool/internal/standin"
 )
 
@@ -24,6 +25,7 @@
 type world struct {
 	t       *testing.T
 	n       *Node
+	addr    string
 	file    string
 	members map[string]*standin.PlatformCache
 	feed    *standin.PlatformFeed
@@ -50,8 +52,29 @@
 	}
 }
 
-// open starts a router whose caches c1, c2 and origin o1 do as on says; nil: hits.
+// open starts a router whose caches c1, c2 and origin a1 do as on says; nil: hits.
 func open(t *testing.T, on map[string]handler) *world {
+	t.Helper()
+	w := outside(t, on)
+	n, err := Open(w.file, "127.0.0.1:0", zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.n, w.addr = n, n.Addr()
+	go func() { w.done <- n.Run() }()
+	t.Cleanup(func() {
+		n.l.Stop()
+		select {
+		case <-w.done:
+		case <-time.After(soon):
+			t.Error("the router does not stop")
+		}
+	})
+	return w
+}
+
+// outside is the stand-ins, and a configuration that names them.
+func outside(t *testing.T, on map[string]handler) *world {
 	t.Helper()
 	w := &world{t: t, members: map[string]*standin.PlatformCache{}, done: make(chan error, 1)}
 	for _, id := range []string{"s-000000c1", "s-000000c2", "s-000000a1"} {
@@ -69,20 +92,6 @@
 	w.feed = w.newFeed()
 	w.file = filepath.Join(t.TempDir(), "config.json")
 	w.write(w.feed.Addr)
-	n, err := Open(w.file, "127.0.0.1:0", zap.NewNop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	w.n = n
-	go func() { w.done <- n.Run() }()
-	t.Cleanup(func() {
-		n.l.Stop()
-		select {
-		case <-w.done:
-		case <-time.After(soon):
-			t.Error("the router does not stop")
-		}
-	})
 	return w
 }
 
@@ -152,7 +161,7 @@
 
 func (w *world) client() *standin.PlatformClient {
 	w.t.Helper()
-	c, err := standin.DialPlatform(w.n.Addr())
+	c, err := standin.DialPlatform(w.addr)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -577,6 +586,7 @@
 		case 2, 3: // never
 		default:
 			c.Hit(q.ID, []byte("good"))
+			c.Done(q.ID)
 		}
 	}
 	w := open(t, map[string]handler{"s-000000c1": rough, "s-000000c2": rough, "s-000000a1": rough})
@@ -594,12 +604,14 @@
 	w.until("nothing is open", func() (none bool) {
 		w.n.l.Call(soon, func() {
 			held, out := 0.0, 0
-			for id, h := range w.n.core.Held() {
-				held += h
-				if p := w.n.pools[id]; p != nil && float64(p.held) != h || p == nil && h != 0 {
-					t.Errorf("%s: the module holds %v", id, h)
+			members, link := w.n.core.Beliefs()
+			for id, b := range members {
+				held += b.Held
+				if p := w.n.pools[id]; p != nil && float64(p.held) != b.Held || p == nil && b.Held != 0 {
+					t.Errorf("%s: the module holds %v", id, b.Held)
 				}
 			}
+			held += link.Held
 			for _, p := range w.n.pools {
 				out += p.held
 			}
@@ -607,4 +619,27 @@
 		})
 		return none
 	})
+	for id, p := range w.members {
+		w.until("the stand-ins have nothing open: "+id, func() bool { return p.Open() == 0 })
+	}
+}
+
+// TestRefusedConnections: a cache that has died refuses connections, which the kernel
+// may tell at once; the module hears of it, and what the cache had is asked elsewhere.
+func TestRefusedConnections(t *testing.T) {
+	w := open(t, nil)
+	w.members["s-000000c1"].Close()
+	for i := range 30 {
+		if r := w.ask(clip(fmt.Sprintf("%016x", i), "slice", fmt.Sprint(i%20)), nil); r.Word != "served" {
+			t.Errorf("%d: %+v", i, r)
+		}
+	}
+	w.n.l.Call(soon, func() {
+		if members, _ := w.n.core.Beliefs(); !members["s-000000c1"].Suspect {
+			t.Errorf("a cache that refuses connections is no suspect: %+v", members["s-000000c1"])
+		}
+		if n := w.n.stats.Outcomes[spool.Moot]; n > 0 {
+			t.Errorf("%d attempts are said to have been moot", n)
+		}
+	})
 }
--- /dev/null
+++ b/internal/node/run_test.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"syscall"
+	"testing"
+	"time"
+
+	"indigospool/internal/standin"
+)
+
+// TestRunLine: the very line that the platform starts serves among the stand-ins, takes
+// SIGHUP without an end, and leaves with 0 after SIGTERM.
+func TestRunLine(t *testing.T) {
+	deploy, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	line := regexp.MustCompile(`(?m)^run = "(.*)"$`).FindSubmatch(deploy)
+	if line == nil {
+		t.Fatal("deploy/balancer.toml has no run line")
+	}
+	root := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", filepath.Join(root, "bin")+"/", "../../cmd/spool-router").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	w := outside(t, nil)
+	// The platform names the address before the start: one that was free a moment ago.
+	free, err := standin.NewPlatformCache("127.0.0.1:0", hits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.addr = free.Addr
+	free.Close()
+	run := exec.Command("/bin/sh", "-c", string(line[1]))
+	var log bytes.Buffer
+	run.Dir, run.Stdout, run.Stderr = root, &log, &log
+	run.Env = append(os.Environ(), "NODE_NAME=n1", "NODE_LISTEN="+w.addr, "NODE_CONFIG="+w.file, "TMPDIR="+t.TempDir())
+	if err := run.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- run.Wait() }()
+	defer run.Process.Kill()
+	var c *standin.PlatformClient
+	w.until("it listens", func() bool { c, err = standin.DialPlatform(w.addr); return err == nil })
+	defer c.Close()
+	if good, err := c.Well(); !good || err != nil {
+		t.Fatalf("isWell: %v %v", good, err)
+	}
+	if r := w.ask(clip(key), nil); r.Word != "served" || string(r.Body) != "bytes of "+key {
+		t.Fatalf("answered %+v", r)
+	}
+	run.Process.Signal(syscall.SIGHUP)
+	if r := w.ask(clip(key), nil); r.Word != "served" {
+		t.Fatalf("after SIGHUP: %+v", r)
+	}
+	run.Process.Signal(syscall.SIGTERM)
+	if r := w.ask(clip(key), nil); r.Word != "served" {
+		t.Fatalf("after SIGTERM: %+v", r)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("it ended with %v: %s", err, log.Bytes())
+		}
+	case <-time.After(soon):
+		t.Errorf("it does not end: %s", log.Bytes())
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -200,7 +200,10 @@
 	n.stats.Dials++
 	fd, _, err := loop.Dial(p.address)
 	if err != nil {
-		n.log.Debug("dial", zap.String("member", p.id), zap.Error(err))
+		if n.stats.NoDial++; n.stats.NoDial&(n.stats.NoDial-1) == 0 { // the 1st, 2nd, 4th, 8th...
+			n.log.Warn("no connection", zap.String("member", p.id), zap.String("address", p.address),
+				zap.Uint64("times", n.stats.NoDial), zap.Error(err))
+		}
 		return nil
 	}
 	c := &conn{p: p, fd: fd, used: n.l.Now()}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -33,8 +33,12 @@
 type PlatformConn struct {
 	net.Conn
 	N int // connections are numbered from 0
+	p *PlatformCache
 }
 
+// Done says that an attempt is over here: its answer was written.
+func (c *PlatformConn) Done(id string) { c.p.count(id, -1) }
+
 // Answer writes an answer.
 func (c *PlatformConn) Answer(id, word, fields string, body []byte) {
 	c.Write(resp.Array(nil, []byte(id), []byte(word), []byte(fields), body))
@@ -78,7 +82,7 @@
 				return
 			}
 			p.mu.Lock()
-			pc := &PlatformConn{Conn: c, N: p.conns}
+			pc := &PlatformConn{Conn: c, N: p.conns, p: p}
 			p.conns++
 			p.mu.Unlock()
 			go p.serve(pc)
@@ -115,9 +119,6 @@
 	return n
 }
 
-// Done marks an attempt as ended by the cache.
-func (p *PlatformCache) Done(id string) { p.count(id, -1) }
-
 func (p *PlatformCache) count(id string, d int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/state.go
+++ b/state.go
@@ -163,15 +163,22 @@
 	return out
 }
 
-// Held is how many attempts the router takes each member to have in hand for it.
-func (r *Router) Held() map[string]float64 {
-	out := map[string]float64{}
+// Belief is what a router holds of a member, or of its location's link.
+type Belief struct {
+	Held    float64 `json:"held"` // attempts that it takes to be out
+	Room    float64 `json:"room"` // how many are thought to be borne
+	Tardy   float64 `json:"tardy"`
+	Faults  float64 `json:"faults"`
+	Suspect bool    `json:"suspect,omitempty"`
+}
+
+// Beliefs tells of each member that is listed, and of the link.
+func (r *Router) Beliefs() (members map[string]Belief, link Belief) {
+	members = make(map[string]Belief, len(r.members))
 	for id, m := range r.members {
-		if m.held > 0 {
-			out[id] = m.held
-		}
+		members[id] = Belief{Held: m.held, Room: m.room, Tardy: m.tardy, Faults: m.faults, Suspect: m.suspect}
 	}
-	return out
+	return members, Belief{Held: r.link.held, Room: r.link.room, Tardy: r.link.tardy}
 }
 
 func total(cost []float64) (sum float64) {
