A connection that ends begins nothing; what came in part is bounded in all

Read, not measured: while the requests of a closed client were given up one by one, the module put the others of that client in the places that became free (node/client.go, close), only to hear of their end next. All are marked first now. And 198 connections with half a frame each could hold 50 MB in 256 KB buffers, above the memory of small routers; past the bytes that may wait, such a one is closed.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -112,7 +112,12 @@
 	n.waiting -= c.out.Len()
 	c.in.Drop(&n.bufs)
 	c.out.Drop(&n.bufs)
+	list := make([]*request, 0, len(c.open))
 	for _, r := range c.open {
+		list = append(list, r)
+		r.c = nil // nothing more is begun for any of them while the module hears of one
+	}
+	for _, r := range list {
 		c.giveUp(r)
 	}
 }
@@ -169,6 +174,10 @@
 	} else if c.v.Half == 0 || used > 0 {
 		c.v.Half = n.l.Now()
 	}
+	if rest > 0 && n.bufs.Used > n.waitingBytes() { // too much is held of what has not come whole
+		c.close()
+		return
+	}
 	if len(calls) > 0 {
 		c.v.Messages += len(calls)
 		c.v.Last = n.l.Now()
@@ -296,7 +305,7 @@
 	want := loop.Read
 	if c.out.Len() > 0 {
 		want |= loop.Write
-		if n.waiting > limits.WaitingBytes(int(n.cfg.Limits.MemoryMB*(1<<20))) {
+		if n.waiting > n.waitingBytes() {
 			c.close()
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,7 +78,7 @@
 	n := &Node{cfg: cfg, file: file, log: log, reqs: map[string]*request{}, pools: map[string]*pool{},
 		clients: map[*client]struct{}{}, codec: front.NewCodec(), scratch: make([]byte, 64<<10),
 		places: limits.NewPlaces(cfg.Limits.Sockets)}
-	n.bufs.Keep = limits.WaitingBytes(int(cfg.Limits.MemoryMB*(1<<20))) / 2
+	n.bufs.Keep = n.waitingBytes() / 2
 	if n.core, err = core.NewBare(cfg.settings.Module, cfg.seed); err != nil {
 		return nil, err
 	}
@@ -102,6 +102,9 @@
 
 const sweepSpan = 200 // ms between looks at connections that overstay
 
+// waitingBytes is how much may wait, and be held of what has come in part.
+func (n *Node) waitingBytes() int { return limits.WaitingBytes(int(n.cfg.Limits.MemoryMB * (1 << 20))) }
+
 func (n *Node) setClasses() {
 	n.classes = map[string]*spool.Class{}
 	for i := range n.cfg.settings.Module.Classes {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -643,3 +643,28 @@
 		}
 	})
 }
+
+// TestCloseBeginsNothing: when a connection with waiting requests ends, none of them is
+// begun in the place that another leaves.
+func TestCloseBeginsNothing(t *testing.T) {
+	never := func(*standin.PlatformConn, standin.PlatformRequest) {}
+	w := open(t, map[string]handler{"s-000000c1": never, "s-000000c2": never})
+	c := w.client()
+	for range 32 {
+		c.Ask(clip(key), nil)
+	}
+	w.until("all are in hand", func() (all bool) {
+		w.n.l.Call(soon, func() { all = len(w.n.reqs) == 32 })
+		return all
+	})
+	c.Close()
+	w.until("none is in hand", func() (none bool) {
+		w.n.l.Call(soon, func() { none = len(w.n.reqs) == 0 })
+		return none
+	})
+	w.n.l.Call(soon, func() {
+		if s := w.n.stats; s.Attempts-s.Outcomes[spool.Moot] > 32+s.Outcomes[spool.Miss] {
+			t.Errorf("%d attempts, %d of them moot, for 32 requests", s.Attempts, s.Outcomes[spool.Moot])
+		}
+	})
+}
--- a/router.go
+++ b/router.go
@@ -868,7 +868,7 @@
 		}
 	case ConnectFailed:
 		r.blame(a.at, 3, a)
-	case TimedOut, Reset: // a dying cache resets what it has, and then refuses; a connection may break by itself
+	case TimedOut, Reset: // a dying cache resets all, and then refuses; a connection may break by itself
 		if a.at.good <= a.sent { // with progress since, it was crowded out: nobody's fault
 			r.blame(a.at, 1, a)
 		} else if fill && a.src.good <= a.sent {
