--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -668,3 +669,52 @@
 		}
 	})
 }
+
+// TestKeyedWritesUnderResets: a write whose connection breaks after it was read may have
+// run; it is sent again under the same key, to where its repeats are dropped, within the
+// window.
+func TestKeyedWritesUnderResets(t *testing.T) {
+	var mu sync.Mutex
+	first, times := map[string]time.Time{}, map[string]int{}
+	origin := func(c *standin.PlatformConn, q standin.PlatformRequest) {
+		mu.Lock()
+		defer mu.Unlock()
+		once := q.Fields["once"]
+		if q.Stop || once == "" {
+			return
+		}
+		times[once]++
+		if first[once].IsZero() {
+			first[once] = time.Now()
+		} else if d := time.Since(first[once]); d > 2050*time.Millisecond {
+			t.Errorf("%s: sent again after %v, when the key is forgotten", once, d)
+		}
+		if len(first)%2 == 0 && times[once] == 1 { // it ran, and nobody hears of it
+			c.Reset()
+			return
+		}
+		c.Answer(q.ID, "HIT", "-", nil)
+	}
+	w := open(t, map[string]handler{"s-000000a1": origin})
+	for i := range 20 {
+		once := fmt.Sprintf("%032x", i+1)
+		r := w.ask(clip(key, "class", "note", "once", once), []byte("written"))
+		if r.Word != "served" {
+			t.Errorf("%d: %+v", i, r)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(times) != 20 {
+		t.Errorf("%d keys for 20 writes", len(times))
+	}
+	again := 0
+	for _, q := range w.members["s-000000a1"].Seen() {
+		if !q.Stop && q.Fields["once"] != "" {
+			again++
+		}
+	}
+	if again != 30 {
+		t.Errorf("%d attempts for 20 writes, of which ten were reset once", again)
+	}
+}
