A member that comes back at another address under its id is asked there

Read while going through the change: a pool kept the address that its member first had, as long as the id was listed (node.go, event; upstream.go, pool). TestSameIdElsewhere fails without the comparison. A pool that is closed leaves the table at once now, where it stayed, with its address, while a connection was busy. The stand-in's two writers of messages share their frame.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -196,7 +196,7 @@
 		n.tell(e)
 	}
 	for id, p := range n.pools {
-		if m, ok := n.core.Member(id); !ok || m.State != spool.Serving {
+		if m, ok := n.core.Member(id); !ok || m.State != spool.Serving || n.core.Address(id) != p.address {
 			p.close()
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -520,6 +520,29 @@
 	})
 }
 
+// TestSameIdElsewhere: a cache that comes back under its id at another address is asked
+// there, though connections to the first are still busy.
+func TestSameIdElsewhere(t *testing.T) {
+	never := func(*standin.PlatformConn, standin.PlatformRequest) {}
+	w := open(t, map[string]handler{"s-000000c1": never})
+	other, err := standin.NewPlatformCache("127.0.0.1:0", hits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	busy := w.client()
+	for i := range 8 {
+		busy.Ask(clip(fmt.Sprintf("%016x", i)), nil)
+	}
+	w.until("the first is busy", func() bool { return w.members["s-000000c1"].Open() > 0 })
+	w.until("the feed is asked", func() bool { return w.asked.Load() == 1 })
+	w.say(standin.PlatformFrame(2, 2, record(0xc1, other.Addr, 0, 0, 0)))
+	w.until("it is asked at its new address", func() bool {
+		w.ask(clip(fmt.Sprintf("%016x", ids.Load())), nil)
+		return len(other.Seen()) > 0
+	})
+}
+
 // TestReload: the feed of the new file is asked from the last number, and a broken file
 // changes nothing.
 func TestReload(t *testing.T) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -139,7 +139,6 @@
 	address string
 	conns   []*conn
 	held    int // attempts
-	gone    bool
 }
 
 // pick is the connection for another attempt of a request, nil if there can be none. One
@@ -220,21 +219,15 @@
 	return c
 }
 
-// close ends the pool of a member that drains or is gone, once nothing is open there.
+// close ends the pool of a member that drains, is gone or is reached elsewhere: its
+// connections go once nothing is open there, and what is sent to the id again gets others.
 func (p *pool) close() {
-	p.gone = true
+	delete(p.n.pools, p.id)
 	for _, c := range slices.Clone(p.conns) {
 		if c.retired = true; len(c.open)+len(c.pend) == 0 {
 			c.close()
 		}
 	}
-	p.forget()
-}
-
-func (p *pool) forget() {
-	if p.gone && len(p.conns) == 0 && p.n.pools[p.id] == p {
-		delete(p.n.pools, p.id)
-	}
 }
 
 func (p *pool) sweep(now float64) {
@@ -535,5 +528,4 @@
 	c.out.Drop(&n.bufs)
 	n.conns--
 	c.p.conns = slices.DeleteFunc(c.p.conns, func(d *conn) bool { return d == c })
-	c.p.forget()
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -224,40 +224,44 @@
 	return &PlatformClient{Conn: c}, nil
 }
 
-// PlatformCall is the frame of a call of serve, or of another name without arguments.
-func PlatformCall(name string, seq int32, fields map[string]string, body []byte) []byte {
-	ctx, m := context.Background(), thrift.NewTMemoryBuffer()
+// message is the frame of a message whose arguments write adds.
+func message(name string, kind thrift.TMessageType, seq int32, write func(w *thrift.TBinaryProtocol)) []byte {
+	m := thrift.NewTMemoryBuffer()
 	w := thrift.NewTBinaryProtocolConf(m, &thrift.TConfiguration{})
 	m.Write([]byte{0, 0, 0, 0})
-	w.WriteMessageBegin(ctx, name, thrift.CALL, seq)
-	if name == "serve" {
-		w.WriteFieldBegin(ctx, "", thrift.MAP, 1)
-		w.WriteMapBegin(ctx, thrift.STRING, thrift.STRING, len(fields))
-		for k, v := range fields {
-			w.WriteString(ctx, k)
-			w.WriteString(ctx, v)
-		}
-		w.WriteFieldBegin(ctx, "", thrift.STRING, 2)
-		w.WriteBinary(ctx, body)
-	}
-	w.WriteFieldStop(ctx)
+	w.WriteMessageBegin(inMemory, name, kind, seq)
+	write(w)
+	w.WriteFieldStop(inMemory)
 	b := m.Bytes()
 	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
 	return b
 }
 
+var inMemory = context.Background() // nothing here waits
+
+// PlatformCall is the frame of a call of serve, or of another name without arguments.
+func PlatformCall(name string, seq int32, fields map[string]string, body []byte) []byte {
+	return message(name, thrift.CALL, seq, func(w *thrift.TBinaryProtocol) {
+		if name != "serve" {
+			return
+		}
+		w.WriteFieldBegin(inMemory, "", thrift.MAP, 1)
+		w.WriteMapBegin(inMemory, thrift.STRING, thrift.STRING, len(fields))
+		for k, v := range fields {
+			w.WriteString(inMemory, k)
+			w.WriteString(inMemory, v)
+		}
+		w.WriteFieldBegin(inMemory, "", thrift.STRING, 2)
+		w.WriteBinary(inMemory, body)
+	})
+}
+
 // PlatformForget is the frame that gives a call up.
 func PlatformForget(seq, of int32) []byte {
-	ctx, m := context.Background(), thrift.NewTMemoryBuffer()
-	w := thrift.NewTBinaryProtocolConf(m, &thrift.TConfiguration{})
-	m.Write([]byte{0, 0, 0, 0})
-	w.WriteMessageBegin(ctx, "forget", thrift.ONEWAY, seq)
-	w.WriteFieldBegin(ctx, "", thrift.I32, 1)
-	w.WriteI32(ctx, of)
-	w.WriteFieldStop(ctx)
-	b := m.Bytes()
-	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
-	return b
+	return message("forget", thrift.ONEWAY, seq, func(w *thrift.TBinaryProtocol) {
+		w.WriteFieldBegin(inMemory, "", thrift.I32, 1)
+		w.WriteI32(inMemory, of)
+	})
 }
 
 // PlatformResult is a router's answer: served, refused, failed or exception.
@@ -305,7 +309,7 @@
 }
 
 func readResult(b []byte) (r PlatformResult, err error) {
-	ctx, m := context.Background(), thrift.NewTMemoryBuffer()
+	ctx, m := inMemory, thrift.NewTMemoryBuffer()
 	m.Write(b)
 	p := thrift.NewTBinaryProtocolConf(m, &thrift.TConfiguration{TBinaryStrictRead: thrift.BoolPtr(true)})
 	_, kind, seq, err := p.ReadMessageBegin(ctx)
