--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -125,6 +125,7 @@
 // giveUp tells the module that the client has left a request.
 func (c *client) giveUp(r *request) {
 	c.n.stats.Gone++
+	c.n.trace("gone", r)
 	c.n.over(r)
 	c.n.tell(spool.Gone{ID: r.ID})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -237,11 +237,13 @@
 	case spool.Refuse:
 		if r := n.reqs[a.ID]; r != nil && r.c != nil {
 			n.stats.Refused++
+			n.trace("refused", r, zap.Float64("after", a.After))
 			r.c.answer(r, n.codec.Refused(r.seq, math.Floor(a.After)))
 		}
 	case spool.Fail:
 		if r := n.reqs[a.ID]; r != nil && r.c != nil {
 			n.stats.Failed++
+			n.trace("failed", r)
 			r.c.answer(r, n.codec.Failed(r.seq))
 		}
 	case spool.Cancel:
@@ -272,10 +274,18 @@
 	r := &request{Request: q, c: c, seq: seq, until: now + q.Wait}
 	n.reqs[q.ID], c.open[seq] = r, r
 	n.stats.Requests++
+	n.trace("taken", r, zap.String("class", q.Class), zap.Float64("wait", q.Wait), zap.String("once", q.Once), zap.Int("fd", c.fd))
 	n.tell(spool.Request{ID: q.ID, Class: q.Class, Object: q.Key, Deadline: r.until, Group: q.Group,
 		Part: q.Part, Retry: q.Retry, Write: n.classes[q.Class].Write})
 }
 
+// trace logs a step of a request's way, where that is asked for.
+func (n *Node) trace(what string, r *request, fields ...zap.Field) {
+	if e := n.log.Check(zap.DebugLevel, what); e != nil {
+		e.Write(append(fields, zap.String("id", r.ID), zap.Float64("left", r.until-n.l.Now()))...)
+	}
+}
+
 // over ends a request towards its client; it is forgotten when nothing is out for it.
 func (n *Node) over(r *request) {
 	if r.c != nil {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -37,6 +37,7 @@
 	r.tries++
 	r.out = a
 	n.stats.Attempts++
+	n.trace("send", r, zap.Int("try", a.n), zap.String("member", s.Cache), zap.String("source", s.Source), zap.Float64("within", s.Timeout))
 	if s.Timeout > 0 {
 		a.until = min(a.until, now+s.Timeout)
 	}
@@ -119,6 +120,7 @@
 	}
 	r.out = nil
 	n.stats.Outcomes[result]++
+	n.trace("outcome", r, zap.Int("try", a.n), zap.Int("result", int(result)), zap.Int("note", int(note)), zap.Bool("written", a.written))
 	if a.send.Source != a.send.Cache {
 		n.log.Debug("fill", zap.String("member", a.send.Cache), zap.String("source", a.send.Source), zap.String("class", r.Class),
 			zap.Int("result", int(result)), zap.Int("note", int(note)), zap.Float64("took", n.l.Now()-a.sent),
@@ -297,6 +299,7 @@
 		}
 		if a := c.writing; a != nil {
 			a.written, c.writing = true, nil
+			n.trace("written", a.r, zap.Int("try", a.n), zap.Int("fd", c.fd))
 			c.open = append(c.open, a)
 		}
 		if len(c.pend) == 0 {
