Repeats leave in time or not at all, what is given up is closed, ends reset nothing

Now what is to be made again is closed, compared with when it was written.

Send.Within bounds when it may leave; the node looks at it, and at drains of member and source, as it begins to write.

Read line by line and mended with it, each with a test that failed on the old lines (or said so): a class that goes with a reload while its request is out ended the process (nil pointer); calls of a client that had closed behind them were begun; a call that comes slowly was closed after 2.2 s; a drained router ended over unread bytes, which resets; 300 routers asked a lost feed in step, each every 150 ms; accept without descriptors spun. A member's drain during the dial passed already.

--- a/api.go
+++ b/api.go
@@ -286,7 +286,8 @@
 	Keep              int    // rank of the copy, 1 to 3; 0: pass through
 	Age               Millis // oldest copy that will do; always above 0
 	Timeout           Millis
-	Join, Held, Renew bool // join a fill; only what the source holds; renew an ageing copy
+	Within            Millis // it must leave within this, or not at all; 0: no bound
+	Join, Held, Renew bool   // join a fill; only what the source holds; renew an ageing copy
 }
 
 // Refuse is a final answer: turned away, a retry is harmless.
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -708,3 +708,55 @@
 		t.Error("the wrong one yields")
 	}
 }
+
+// TestAgain: after a common loss processes ask at different times, at first soon and then
+// less often, and never wait longer than the most.
+func TestAgain(t *testing.T) {
+	first := map[float64]bool{}
+	for seed := range uint64(100) {
+		a := NewAgain(250, 150, 500, seed)
+		in := a.In()
+		if first[in] = true; in < 0 || in >= 250 {
+			t.Errorf("seed %d: first after %v", seed, in)
+		}
+		last := 0.0
+		for range 80 {
+			if last = a.In(); last < 75 || last > 500 {
+				t.Fatalf("seed %d: then after %v", seed, last)
+			}
+		}
+		if last < 250 {
+			t.Errorf("seed %d: at last after %v", seed, last)
+		}
+		if a.Well(); a.In() >= 250 {
+			t.Errorf("seed %d: after a success it does not begin anew", seed)
+		}
+	}
+	if len(first) < 90 {
+		t.Errorf("%d different waits of 100", len(first))
+	}
+}
+
+// TestVisitorsThatLinger: a message that comes by and by is waited for, within a bound; a
+// connection that was shut is read for a while, and is the first to yield.
+func TestVisitorsThatLinger(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		v    Visitor
+		now  float64
+		over bool
+	}{
+		{"bytes came lately", Visitor{Begun: 1, Half: 3000}, 5000, false},
+		{"none for long", Visitor{Begun: 1, Half: 3000}, 5300, true},
+		{"for too long in all", Visitor{Begun: 1, Half: 8900}, 9000, true},
+		{"shut", Visitor{Messages: 1, Shut: 100}, 1000, false},
+		{"shut, and the client stays", Visitor{Messages: 1, Shut: 100}, 1101, true},
+	} {
+		if got := c.v.Overstays(c.now); got != c.over {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+	if shut, silent := (&Visitor{Messages: 3, Last: 900, Shut: 950}), (&Visitor{Since: 1}); !shut.Yields(silent) || silent.Yields(shut) {
+		t.Error("one that was shut does not yield first")
+	}
+}
--- a/internal/limits/places.go
+++ b/internal/limits/places.go
@@ -9,9 +9,11 @@
 	keptBack     = 24   // the loop, the listener, the feed, logs, and what the runtime opens
 	clientPart   = 0.55 // of the others; what is left goes to members
 	silentFor    = 2200 // a connection that has not sent a whole message
-	halfFor      = 2200 // a message that has begun and does not end
+	halfFor      = 2200 // a message that has begun, and of which nothing more comes
+	wholeFor     = 8000 // a message that has begun and comes by and by
 	unusedFor    = 6000 // a connection without an open request: clients close theirs earlier
 	unreadFor    = 2500 // an answer of which nothing is taken
+	lingerFor    = 1000 // a connection that was shut, and that its client does not close
 	idlePart     = 0.8  // of the time after which members close idle connections
 	usualIdle    = 30000
 	memoryPart   = 0.3 // of the memory that waiting bytes may take
@@ -37,7 +39,9 @@
 type Visitor struct {
 	Since    float64 // when it came
 	Last     float64 // when it last sent a whole message or was answered
-	Half     float64 // since when it has sent a part of one; 0: it has not
+	Half     float64 // when the last bytes of a part of one came; 0: it has sent no part
+	Begun    float64 // when that part began
+	Shut     float64 // since when nothing more is written to it; 0: it is not shut
 	Stuck    float64 // since when it has taken nothing of what waits for it; 0: nothing waits
 	Open     int     // its open requests
 	Messages int     // whole ones so far
@@ -47,25 +51,29 @@
 // of something, takes no answer, or was not used for long.
 func (v *Visitor) Overstays(now float64) bool {
 	switch {
-	case v.Half > 0 && now-v.Half > halfFor, v.Stuck > 0 && now-v.Stuck > unreadFor:
+	case v.Shut > 0:
+		return now-v.Shut > lingerFor
+	case v.Half > 0 && (now-v.Half > halfFor || now-v.Begun > wholeFor), v.Stuck > 0 && now-v.Stuck > unreadFor:
 		return true
 	case v.Open > 0:
 		return false
-	case v.Messages == 0:
+	case v.Messages == 0 && v.Half == 0:
 		return now-v.Since > silentFor
 	}
-	return now-v.Last > unusedFor
+	return v.Half == 0 && now-v.Last > unusedFor
 }
 
 // Yields reports whether v goes before w where room is needed for another connection:
-// never one with an open request; of the others one that never spoke, then the one
-// that was longest without use.
+// never one with an open request; of the others one that was shut already, then one that
+// never spoke, then the one that was longest without use.
 func (v *Visitor) Yields(w *Visitor) bool {
 	switch {
 	case v.Open > 0:
 		return false
 	case w == nil || w.Open > 0:
 		return true
+	case (v.Shut > 0) != (w.Shut > 0):
+		return v.Shut > 0
 	case (v.Messages == 0) != (w.Messages == 0):
 		return v.Messages == 0
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -43,6 +43,10 @@
 // Writable reports room to write, a finished connect, or an error.
 func (r Ready) Writable() bool { return r&(unix.EPOLLOUT|unix.EPOLLHUP|unix.EPOLLERR) != 0 }
 
+// Ended reports that the peer has closed its direction, or more; bytes that came before
+// may still be there to be read.
+func (r Ready) Ended() bool { return r&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 }
+
 // Hangup reports that both directions are closed, or an error.
 func (r Ready) Hangup() bool { return r&(unix.EPOLLHUP|unix.EPOLLERR) != 0 }
 
@@ -57,9 +61,10 @@
 var ErrStopped = errors.New("loop: stopped")
 
 type slot struct {
-	h    Handler
-	gen  uint32
-	want Interest
+	h     Handler
+	gen   uint32
+	want  Interest
+	first bool
 }
 
 // Loop is one event loop. The zero value is not usable; see New.
@@ -158,10 +163,14 @@
 	if err := unix.EpollCtl(l.epfd, unix.EPOLL_CTL_ADD, fd, &ev); err != nil {
 		return fmt.Errorf("loop: epoll_ctl add %d: %w", fd, err)
 	}
-	s.h, s.want = h, want
+	s.h, s.want, s.first = h, want, false
 	return nil
 }
 
+// First has a watched descriptor's events handed out before those of others in each
+// turn: who has gone is heard of before anything is begun for him.
+func (l *Loop) First(fd int) { l.slots[fd].first = true }
+
 // Want changes what is wanted of a watched descriptor. It costs nothing when
 // nothing changes.
 func (l *Loop) Want(fd int, want Interest) error {
@@ -271,15 +280,17 @@
 	l.now = Clock()
 	l.turns++
 	posts := false
-	for i := 0; i < n; i++ {
-		ev := &l.events[i]
-		if int(ev.Fd) == l.wakefd {
-			posts = true
-			continue
-		}
-		s := &l.slots[ev.Fd]
-		if s.h != nil && int32(s.gen&0x7fffffff) == ev.Pad {
-			s.h.OnReady(Ready(ev.Events))
+	for _, first := range [...]bool{true, false} {
+		for i := 0; i < n; i++ {
+			ev := &l.events[i]
+			if int(ev.Fd) == l.wakefd {
+				posts = true
+				continue
+			}
+			s := &l.slots[ev.Fd]
+			if s.h != nil && int32(s.gen&0x7fffffff) == ev.Pad && s.first == first {
+				s.h.OnReady(Ready(ev.Events))
+			}
 		}
 	}
 	if posts {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -31,12 +31,33 @@
 	return ln, n.l.Add(fd, loop.Read, ln)
 }
 
+// close takes who has connected already, and ends listening.
 func (ln *listener) close() {
+	if ln.fd < 0 {
+		return
+	}
+	ln.OnReady(0)
 	ln.n.l.Remove(ln.fd)
 	closeFD(ln.fd)
+	ln.fd = -1
 }
 
-const acceptTurn = 64 // connections that one turn takes
+const (
+	acceptTurn  = 64 // connections that one turn takes
+	acceptPause = 20 // ms without taking any, where no descriptor is to be had
+)
+
+// pause leaves who connects in the kernel's queue for a while: told of it in each turn, the
+// loop would do nothing else.
+func (ln *listener) pause() {
+	l := ln.n.l
+	l.Want(ln.fd, 0)
+	l.Once(acceptPause, func() {
+		if ln.fd >= 0 {
+			l.Want(ln.fd, loop.Read)
+		}
+	})
+}
 
 // OnReady is the loop's.
 func (ln *listener) OnReady(loop.Ready) {
@@ -45,6 +66,7 @@
 		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err == unix.EMFILE || err == unix.ENFILE {
 			if !n.yield() {
+				ln.pause()
 				return
 			}
 			continue
@@ -63,6 +85,7 @@
 			closeFD(fd)
 			continue
 		}
+		n.l.First(fd)
 		n.clients[c] = struct{}{}
 	}
 }
@@ -122,6 +145,15 @@
 	}
 }
 
+// shut ends a connection that is at rest, from this side. What its client sends in that
+// moment is read and dropped, so that the kernel resets nothing and the client can tell:
+// it sends that again elsewhere. The connection is closed when the client closes it, or
+// when it overstays.
+func (c *client) shut() {
+	c.v.Shut = c.n.l.Now()
+	unix.Shutdown(c.fd, unix.SHUT_WR)
+}
+
 // giveUp tells the module that the client has left a request.
 func (c *client) giveUp(r *request) {
 	c.n.stats.Gone++
@@ -132,7 +164,14 @@
 
 // OnReady is the loop's.
 func (c *client) OnReady(r loop.Ready) {
-	if r.Writable() && c.out.Len() > 0 {
+	switch {
+	case r.Ended(): // whatever it has sent before: nobody waits for an answer to it
+		c.close()
+		return
+	case c.v.Shut > 0:
+		c.drop()
+		return
+	case r.Writable() && c.out.Len() > 0:
 		c.flush()
 	}
 	if !c.closed && r.Readable() {
@@ -140,22 +179,41 @@
 	}
 }
 
-// read takes what has come. Whole calls of one read are looked at together before the
-// first is handed on: one that spoils its connection spoils what came along with it.
-func (c *client) read() {
-	n := c.n
-	k, err := loop.ReadFD(c.fd, n.scratch)
-	if err == errAgain {
-		return
-	}
-	if err != nil || k == 0 {
+// drop reads what comes after the connection was shut.
+func (c *client) drop() {
+	if k, err := loop.ReadFD(c.fd, c.n.scratch); err != errAgain && (err != nil || k == 0) {
 		c.close()
-		return
 	}
-	data := n.scratch[:k]
-	if c.in.Len() > 0 {
-		c.in.Add(&n.bufs, data)
-		data = c.in.Bytes()
+}
+
+// readMost is how many bytes are read of one client before the first call is begun.
+const readMost = 256 << 10
+
+// read takes what has come, all of it: a call that is given up behind others is not
+// begun. Whole calls are looked at together before the first is handed on: one that
+// spoils its connection spoils what came along with it.
+func (c *client) read() {
+	n := c.n
+	var data []byte
+	for {
+		k, err := loop.ReadFD(c.fd, n.scratch)
+		if err == errAgain && data != nil {
+			break
+		}
+		if err == errAgain {
+			return
+		}
+		if err != nil || k == 0 {
+			c.close()
+			return
+		}
+		if data = n.scratch[:k]; c.in.Len() > 0 || k == len(n.scratch) {
+			c.in.Add(&n.bufs, data)
+			data = c.in.Bytes()
+		}
+		if k < len(n.scratch) || len(data) > readMost {
+			break
+		}
 	}
 	calls, used, err := c.calls(data)
 	if err != nil {
@@ -172,7 +230,10 @@
 	}
 	if rest == 0 {
 		c.v.Half = 0
-	} else if c.v.Half == 0 || used > 0 {
+	} else {
+		if c.v.Half == 0 || used > 0 {
+			c.v.Begun = n.l.Now()
+		}
 		c.v.Half = n.l.Now()
 	}
 	if rest > 0 && n.bufs.Used > n.waitingBytes() { // too much is held of what has not come whole
--- /dev/null
+++ b/internal/node/moments_test.go
@@ -0,0 +1,389 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	spool "indigospool"
+	"indigospool/internal/loop"
+	"indigospool/internal/standin"
+)
+
+// The narrow moments: what arrives in the very instant in which something ends. Each is
+// forced, by stand-ins that hold back until told, or by holding up the loop.
+
+// hold keeps the router's loop busy until the returned function is called, so that what
+// the outside does meanwhile reaches it in one turn.
+func (w *world) hold() (release func()) {
+	w.t.Helper()
+	in, out := make(chan struct{}), make(chan struct{})
+	if err := w.n.l.Post(func() { close(in); <-out }); err != nil {
+		w.t.Fatal(err)
+	}
+	<-in
+	return func() { close(out) }
+}
+
+// turn waits until the router's loop has turned so often, with what had come by now.
+func (w *world) turn() {
+	w.t.Helper()
+	for range 3 {
+		if err := w.n.l.Call(soon, func() {}); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
+
+// sent counts the attempts that reached members.
+func (w *world) sent() (n int) {
+	for _, p := range w.members {
+		for _, q := range p.Seen() {
+			if !q.Stop {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// lateMember is an address at which connections come up only once they are let in: its
+// queue is full, and the kernel drops what asks to connect. Who asks tries again after 1 s.
+type lateMember struct {
+	fd     int
+	addr   string
+	queued []net.Conn
+}
+
+func newLateMember(t *testing.T) *lateMember {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := sa.(*unix.SockaddrInet4)
+	return &lateMember{fd: fd, addr: netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)).String()}
+}
+
+// fill has the queue full.
+func (m *lateMember) fill(t *testing.T) {
+	t.Helper()
+	for range 8 {
+		c, err := net.DialTimeout("tcp", m.addr, 100*time.Millisecond)
+		if err != nil {
+			return
+		}
+		m.queued = append(m.queued, c)
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Fatal("the queue never fills")
+}
+
+// take lets one connection in, and reads its first request.
+func (m *lateMember) take(t *testing.T) (c net.Conn, first []byte) {
+	t.Helper()
+	if k, _ := unix.Poll([]unix.PollFd{{Fd: int32(m.fd), Events: unix.POLLIN}}, int(soon.Milliseconds())); k <= 0 {
+		t.Fatal("nobody connects")
+	}
+	fd, _, err := unix.Accept(m.fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "connection")
+	defer f.Close()
+	if c, err = net.FileConn(f); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	b := make([]byte, 4096)
+	c.SetReadDeadline(time.Now().Add(soon))
+	k, _ := c.Read(b)
+	return c, b[:k]
+}
+
+// rest lets in all who come for a while, and tells how many of them brought a request.
+func (m *lateMember) rest(t *testing.T, span time.Duration) (n int) {
+	t.Helper()
+	end := time.Now().Add(span)
+	for time.Now().Before(end) {
+		p := []unix.PollFd{{Fd: int32(m.fd), Events: unix.POLLIN}}
+		if k, _ := unix.Poll(p, int(time.Until(end).Milliseconds())+1); k <= 0 {
+			continue
+		}
+		fd, _, err := unix.Accept(m.fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer unix.Close(fd)
+		p[0].Fd = int32(fd)
+		var b [4096]byte
+		if k, _ := unix.Poll(p, 300); k > 0 {
+			if k, _ := unix.Read(fd, b[:]); k > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// adopt has the router know a member at an address of its own, by one change of the feed.
+func (w *world) adopt(n uint64, id uint32, address string, state, zone, kind byte) {
+	w.until("the feed is asked", func() bool { return w.tell.Load() != nil })
+	w.say(standin.PlatformFrame(n, 2, record(id, address, state, zone, kind)))
+	w.turn()
+	w.until("the list has it", func() bool {
+		found := false
+		w.n.l.Call(soon, func() {
+			m, ok := w.n.core.Member(fmt.Sprintf("s-%08x", id))
+			found = ok && m.State == spool.State(state) || !ok && state == 2
+		})
+		return found
+	})
+}
+
+// TestRepeatPastItsWindow: a keyed write may have run, and the connection for its repeat
+// comes up when the window is over: it does not leave any more. Seen as 'sent again
+// outside its group or window'.
+func TestRepeatPastItsWindow(t *testing.T) {
+	t.Parallel()
+	late := newLateMember(t)
+	w := openWith(t, nil, `"window":2000`, `"window":2400`, `"give_up":3000`, `"give_up":9000`, `"connect_timeout":300`, `"connect_timeout":1500`)
+	w.adopt(2, 0xd1, late.addr, 0, 1, 2)
+	w.adopt(3, 0xa1, w.members["s-000000a1"].Addr, 1, 1, 2)
+	c := w.client()
+	c.Ask(clip(key, "class", "note", "once", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", "wait", "9000"), []byte("x"))
+	began := time.Now()
+	for i := range 2 { // neither is answered; each is given up after 0.45 of the window
+		if _, b := late.take(t); len(b) == 0 {
+
+			t.Fatalf("attempt %d did not come", i)
+		}
+	}
+	late.fill(t)
+	time.Sleep(time.Until(began.Add(2500 * time.Millisecond)))
+	if n := late.rest(t, time.Second); n != 0 {
+		t.Errorf("%d attempts came after the window", n)
+	}
+	if r, err := c.Result(soon); err != nil || r.Word != "refused" {
+		t.Errorf("%+v %v", r, err)
+	}
+}
+
+// TestDrainWhileTheDialIsUnderWay: a member is told to drain, or the source of a fill is,
+// before the connection to it has come up.
+func TestDrainWhileTheDialIsUnderWay(t *testing.T) {
+	for _, state := range []byte{1, 2} {
+		t.Run(fmt.Sprint(state), func(t *testing.T) {
+			t.Parallel()
+			late := newLateMember(t)
+			w := openWith(t, nil, `"connect_timeout":300`, `"connect_timeout":1500`)
+			w.adopt(2, 0xd1, late.addr, 0, 0, 0)
+			w.adopt(3, 0xc1, w.members["s-000000c1"].Addr, 1, 0, 0)
+			w.adopt(4, 0xc2, w.members["s-000000c2"].Addr, 1, 0, 0)
+			late.fill(t)
+			c := w.client()
+			c.Ask(clip(key), nil)
+			w.turn()
+			w.adopt(5, 0xd1, late.addr, state, 0, 0)
+			if n := late.rest(t, 1500*time.Millisecond); n != 0 {
+				t.Errorf("%d attempts came", n)
+			}
+			if r, err := c.Result(soon); err != nil || r.Word != "served" {
+				t.Errorf("%+v %v", r, err)
+			}
+		})
+	}
+}
+
+// TestRepeatAfterSilence: where a first attempt is given up to be made again, its
+// connection is closed: a word into a connection on which nothing came may never arrive.
+// Seen as 'a second copy, not given up' after a fresh connection had fallen silent.
+func TestRepeatAfterSilence(t *testing.T) {
+	t.Parallel()
+	late := newLateMember(t)
+	w := openWith(t, nil, `"window":2000`, `"window":1000`)
+	w.adopt(2, 0xd1, late.addr, 0, 1, 2)
+	w.adopt(3, 0xa1, w.members["s-000000a1"].Addr, 1, 1, 2)
+	w.client().Ask(clip(key, "class", "note", "once", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), []byte("x"))
+	first, _ := late.take(t)
+	late.take(t)
+	b := make([]byte, 64)
+	first.SetReadDeadline(time.Now().Add(time.Second))
+	if k, err := first.Read(b); k != 0 || err == nil {
+		t.Errorf("the first connection had %q, %v; an end is wanted", b[:k], err)
+	}
+}
+
+// TestGoneBehindItsCalls: a client sends calls and closes, and the loop hears of all that
+// in one turn: nothing is begun. The same for calls that are given up behind a first
+// buffer full of them.
+func TestGoneBehindItsCalls(t *testing.T) {
+	w := open(t, nil)
+	save := func() map[string]string {
+		return clip(key, "class", "note", "once", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+	}
+	for range 4 { // so that there are connections on which an attempt would go out at once
+		w.ask(clip(key), nil)
+		w.ask(save(), nil)
+	}
+	for name, write := range map[string]func(c *standin.PlatformClient){
+		"closed": func(c *standin.PlatformClient) {
+			for i := range int32(5) {
+				c.Write(standin.PlatformCall("serve", i+1, clip(key), nil))
+			}
+			c.Close()
+		},
+		"given up": func(c *standin.PlatformClient) {
+			for i := range int32(3) {
+				c.Write(standin.PlatformCall("serve", i+1, save(), make([]byte, 40000)))
+			}
+			for i := range int32(3) {
+				c.Write(standin.PlatformForget(i+4, i+1))
+			}
+		},
+	} {
+		c, before := w.client(), w.sent()
+		w.turn()
+		release := w.hold()
+		write(c)
+		time.Sleep(20 * time.Millisecond) // for loopback
+		release()
+		w.turn()
+		w.ask(save(), nil) // behind them on the same connections
+		w.ask(clip(key), nil)
+		if n := w.sent() - before - 2; n != 0 {
+			t.Errorf("%s: %d attempts", name, n)
+		}
+	}
+}
+
+// TestSlowWriter: a call that comes by and by is taken, and what stops in the middle is
+// closed; 2.2 s after its beginning the first was closed too.
+func TestSlowWriter(t *testing.T) {
+	t.Parallel()
+	w := open(t, nil)
+	c, half := w.client(), w.client()
+	b := standin.PlatformCall("serve", 1, clip(key), nil)
+	half.Write(b[:len(b)/2])
+	for i := range b {
+		if _, err := c.Write(b[i : i+1]); err != nil {
+			t.Fatalf("after %d bytes: %v", i, err)
+		}
+		time.Sleep(3 * time.Second / time.Duration(len(b)))
+	}
+	if r, err := c.Result(soon); err != nil || r.Word != "served" {
+		t.Errorf("%+v %v", r, err)
+	}
+	if _, err := half.Result(time.Second); err != io.EOF {
+		t.Errorf("half a call: %v; an end is wanted", err)
+	}
+}
+
+// TestReloadWithoutItsClass: a class goes with a new configuration while a request of it is
+// out; the answer comes to its client. The router ended with a nil pointer.
+func TestReloadWithoutItsClass(t *testing.T) {
+	answers := make(chan func(), 4)
+	wait := func(c *standin.PlatformConn, q standin.PlatformRequest) { answers <- func() { hits(c, q) } }
+	w := open(t, map[string]handler{"s-000000c1": wait, "s-000000c2": wait})
+	c := w.client()
+	c.Ask(clip(key), nil)
+	answer := <-answers
+	w.settings = strings.Replace(testSettings, `"name":"clip"`, `"name":"film"`, 1)
+	w.write(w.feed.Addr)
+	w.n.Reload()
+	w.turn()
+	answer()
+	if r, err := c.Result(soon); err != nil || r.Word != "served" {
+		t.Errorf("%+v %v", r, err)
+	}
+	if r := w.ask(clip(key), nil); r.Word != "failed" {
+		t.Errorf("a class that is gone: %+v", r)
+	}
+}
+
+// TestLeavingResetsNothing: a router that has drained shuts connections at rest and reads
+// on: a request that comes in that moment is not sent on, and an answer that its client
+// has not read yet is not lost by a reset.
+func TestLeavingResetsNothing(t *testing.T) {
+	t.Parallel()
+	big := func(c *standin.PlatformConn, q standin.PlatformRequest) {
+		if !q.Stop {
+			c.Hit(q.ID, make([]byte, 200000))
+		}
+	}
+	w := open(t, map[string]handler{"s-000000c1": big, "s-000000c2": big})
+	c := w.client()
+	c.Ask(clip(key), nil)
+	w.until("it is answered", func() bool {
+		n := -1
+		w.n.l.Call(soon, func() { n = len(w.n.reqs) + w.n.waiting })
+		return n == 0 && w.sent() > 0
+	})
+	before := w.sent()
+	w.n.Drain()
+	shut := func() (yes bool) {
+		w.n.l.Call(soon, func() {
+			for c := range w.n.clients {
+				yes = c.v.Shut > 0
+			}
+		})
+		return yes
+	}
+	w.until("it is shut", shut)
+	if _, err := c.Ask(clip(key), nil); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if r, err := c.Result(soon); err != nil || r.Word != "served" || len(r.Body) != 200000 {
+		t.Errorf("%s of %d bytes, %v", r.Word, len(r.Body), err)
+	}
+	if _, err := c.Result(soon); err != io.EOF {
+		t.Errorf("then %v; an end is wanted", err)
+	}
+	c.Close()
+	select {
+	case err := <-w.done:
+		w.done <- err
+	case <-time.After(soon):
+		t.Error("it does not end")
+	}
+	if n := w.sent(); n != before {
+		t.Errorf("%d attempts after the shutdown", n-before)
+	}
+}
+
+// TestFeedRefused: a feed that refuses is asked again soon, and not by all at once.
+func TestFeedRefused(t *testing.T) {
+	t.Parallel()
+	w := open(t, nil)
+	w.until("the feed is asked", func() bool { return w.tell.Load() != nil })
+	w.feed.Close()
+	var dials atomic.Int64
+	w.n.l.Call(soon, func() {
+		w.n.watch.dial = func(address string) (int, bool, error) { dials.Add(1); return loop.Dial(address) }
+	})
+	w.say(nil)
+	time.Sleep(3 * time.Second)
+	if n := dials.Load(); n < 6 || n > 12 {
+		t.Errorf("%d tries in 3 s", n)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,7 @@
 	c     *client // nil once it is over
 	seq   int32
 	until float64 // when its client stops waiting
+	write bool    // as its class was when it came: settings may change meanwhile
 	tries int
 	out   *attempt
 	timer loop.Timer // the module's
@@ -89,6 +90,8 @@
 	n.beat.F = func() { n.tell(spool.Timer{}) }
 	n.watch.reader = feed.Reader{Zones: cfg.settings.Module.Zones, Kinds: cfg.settings.Kinds}
 	n.watch.n = n
+	n.watch.dial = loop.Dial
+	n.watch.tries = limits.NewAgain(feedFirst, feedBase, feedMost, cfg.seed)
 	if err := n.watch.reader.Known(cfg.Known, n.event); err != nil {
 		return nil, err
 	}
@@ -271,12 +274,12 @@
 // take hands a client's request to the module.
 func (n *Node) take(c *client, seq int32, q front.Request) {
 	now := n.l.Now()
-	r := &request{Request: q, c: c, seq: seq, until: now + q.Wait}
+	r := &request{Request: q, c: c, seq: seq, until: now + q.Wait, write: n.classes[q.Class].Write}
 	n.reqs[q.ID], c.open[seq] = r, r
 	n.stats.Requests++
 	n.trace("taken", r, zap.String("class", q.Class), zap.Float64("wait", q.Wait), zap.String("once", q.Once), zap.Int("fd", c.fd))
 	n.tell(spool.Request{ID: q.ID, Class: q.Class, Object: q.Key, Deadline: r.until, Group: q.Group,
-		Part: q.Part, Retry: q.Retry, Write: n.classes[q.Class].Write})
+		Part: q.Part, Retry: q.Retry, Write: r.write})
 }
 
 // trace logs a step of a request's way, where that is asked for.
@@ -304,15 +307,32 @@
 func (n *Node) sweep() {
 	now := n.l.Now()
 	for c := range n.clients {
-		if c.v.Open = len(c.open); c.v.Overstays(now) && loop.Quiet(c.fd) {
+		switch c.v.Open = len(c.open); {
+		case !c.v.Overstays(now):
+		case c.v.Shut > 0 || c.v.Stuck > 0:
 			c.close()
+		case loop.Quiet(c.fd):
+			c.shut()
 		}
 	}
 	for _, p := range n.pools {
 		p.sweep(now)
 	}
-	if n.drained > 0 && now-n.drained > drainLeast && len(n.reqs) == 0 && n.waiting == 0 {
-		n.listener.close()
+	if n.drained > 0 && now-n.drained > drainLeast {
+		n.leave()
+	}
+}
+
+// leave ends a router that has drained: who has connected meanwhile is still taken, those
+// at rest are shut and read until they close, and it stops once nobody is left.
+func (n *Node) leave() {
+	n.listener.close()
+	for c := range n.clients {
+		if c.v.Shut == 0 && len(c.open) == 0 && c.out.Len() == 0 && c.in.Len() == 0 && loop.Quiet(c.fd) {
+			c.shut()
+		}
+	}
+	if len(n.clients) == 0 && len(n.reqs) == 0 {
 		n.l.Stop()
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,16 +24,17 @@
 
 // world is a router among stand-ins.
 type world struct {
-	t       *testing.T
-	n       *Node
-	addr    string
-	file    string
-	members map[string]*standin.PlatformCache
-	feed    *standin.PlatformFeed
-	last    atomic.Uint64               // number that the feed's last connection began with
-	asked   atomic.Int64                // connections of the feed
-	tell    atomic.Pointer[chan []byte] // what the feed's last connection writes next; nil: it breaks off
-	done    chan error
+	t        *testing.T
+	n        *Node
+	addr     string
+	file     string
+	members  map[string]*standin.PlatformCache
+	feed     *standin.PlatformFeed
+	settings string
+	last     atomic.Uint64               // number that the feed's last connection began with
+	asked    atomic.Int64                // connections of the feed
+	tell     atomic.Pointer[chan []byte] // what the feed's last connection writes next; nil: it breaks off
+	done     chan error
 }
 
 type handler = func(c *standin.PlatformConn, q standin.PlatformRequest)
@@ -54,9 +55,14 @@
 }
 
 // open starts a router whose caches c1, c2 and origin a1 do as on says; nil: hits.
-func open(t *testing.T, on map[string]handler) *world {
+func open(t *testing.T, on map[string]handler) *world { return openWith(t, on) }
+
+// openWith starts a router by settings in which each old text is replaced by a new one.
+func openWith(t *testing.T, on map[string]handler, oldnew ...string) *world {
 	t.Helper()
 	w := outside(t, on)
+	w.settings = strings.NewReplacer(oldnew...).Replace(testSettings)
+	w.write(w.feed.Addr)
 	n, err := Open(w.file, "127.0.0.1:0", zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
@@ -77,7 +83,7 @@
 // outside is the stand-ins, and a configuration that names them.
 func outside(t *testing.T, on map[string]handler) *world {
 	t.Helper()
-	w := &world{t: t, members: map[string]*standin.PlatformCache{}, done: make(chan error, 1)}
+	w := &world{t: t, settings: testSettings, members: map[string]*standin.PlatformCache{}, done: make(chan error, 1)}
 	for _, id := range []string{"s-000000c1", "s-000000c2", "s-000000a1"} {
 		f := on[id]
 		if f == nil {
@@ -145,7 +151,7 @@
 		}
 		rows = append(rows, r)
 	}
-	c := map[string]any{"name": "n1", "listen": "127.0.0.1:0", "seed": "1f", "feed": feed, "settings": json.RawMessage(testSettings),
+	c := map[string]any{"name": "n1", "listen": "127.0.0.1:0", "seed": "1f", "feed": feed, "settings": json.RawMessage(w.settings),
 		"limits": row{"cores": 1, "memory_mb": 64, "sockets": 256},
 		"known":  row{"n": 1, "events": []row{{"n": 1, "members": row{"index": 1, "snapshot": true, "endpoints": rows}}}}}
 	b, err := json.Marshal(c)
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -26,7 +26,9 @@
 	timer   loop.Timer
 	p       *pool
 	c       *conn
-	written bool // whole, as far as the machine took it
+	begin   float64 // it must not begin to be written later; 0: no bound
+	written bool    // whole, as far as the machine took it
+	left    float64 // when that was
 	done    bool
 }
 
@@ -41,8 +43,10 @@
 	if s.Timeout > 0 {
 		a.until = min(a.until, now+s.Timeout)
 	}
-	m, ok := n.core.Member(s.Cache)
-	if r.c == nil || !ok || m.State != spool.Serving || a.until-now < 1 {
+	if s.Within > 0 {
+		a.begin = now + s.Within
+	}
+	if a.until-now < 1 || a.moot() {
 		a.end(spool.Moot, spool.NoteNone, 0)
 		return
 	}
@@ -68,6 +72,18 @@
 	}
 }
 
+// moot reports whether an attempt must not begin, or not any more: its client has gone,
+// its member or its source takes nothing new, or the time within which it might is over.
+// A connection may come up long after the module's decision.
+func (a *attempt) moot() bool {
+	serves := func(id string) bool {
+		m, ok := a.in.core.Member(id)
+		return ok && m.State == spool.Serving
+	}
+	return a.r.c == nil || a.begin > 0 && loop.Clock() > a.begin || !serves(a.send.Cache) ||
+		a.send.Source != "" && !serves(a.send.Source)
+}
+
 // giveUp ends the wait for an attempt: nothing of it comes back any more.
 func (a *attempt) giveUp(result spool.Result) {
 	if a.done {
@@ -81,7 +97,7 @@
 	case c == nil:
 	case c.writing == a: // a part of it is there: the rest would have to follow
 		a.leave()
-		c.fail(spool.Reset)
+		c.fail(spool.Cancelled)
 	case a.written:
 		a.leave()
 		c.stop(a)
@@ -298,7 +314,7 @@
 			c.out.Take(&n.bufs, k)
 		}
 		if a := c.writing; a != nil {
-			a.written, c.writing = true, nil
+			a.written, a.left, c.writing = true, loop.Clock(), nil
 			n.trace("written", a.r, zap.Int("try", a.n), zap.Int("fd", c.fd))
 			c.open = append(c.open, a)
 		}
@@ -308,6 +324,10 @@
 		}
 		a := c.pend[0]
 		c.pend = slices.Delete(c.pend, 0, 1)
+		if a.moot() {
+			a.end(spool.Moot, spool.NoteNone, 0)
+			continue
+		}
 		c.writing, c.used = a, n.l.Now()
 		c.recent[c.at%len(c.recent)] = a.r.ID
 		c.at++
@@ -351,25 +371,29 @@
 }
 
 // stop gives up an attempt that was written. A connection on which nothing came since is
-// not trusted with another: its member may have vanished.
+// not trusted with another: its member may have vanished. Where the request is to be
+// sent again, a word that may never arrive is not enough: what it had alone is closed,
+// and so is what has been silent since.
 func (c *conn) stop(a *attempt) {
 	n := c.p.n
 	if c.closed {
 		return
 	}
-	if c.heard <= a.sent || c.writing != nil {
+	silent, alone := c.heard <= a.left, len(c.open)+len(c.pend) == 0 && c.writing == nil
+	if silent || c.writing != nil {
 		c.retired = true
 	}
-	if c.retired && len(c.open)+len(c.pend) == 0 && c.writing == nil {
+	again := a.r.c != nil
+	n.trace("stop", a.r, zap.Int("try", a.n), zap.Int("fd", c.fd), zap.Bool("silent", silent), zap.Bool("alone", alone))
+	switch {
+	case alone && (again || c.retired):
 		c.close()
-		return
-	}
-	if c.writing != nil { // behind a part of another, the word would come late
-		c.fail(spool.Reset)
-		return
+	case again && silent, c.writing != nil: // behind a part of another, the word would come late
+		c.fail(spool.Cancelled)
+	default:
+		c.out.Add(&n.bufs, resp.Array(nil, []byte("STOP"), []byte(a.r.ID)))
+		c.flush()
 	}
-	c.out.Add(&n.bufs, resp.Array(nil, []byte("STOP"), []byte(a.r.ID)))
-	c.flush()
 }
 
 // read takes answers.
@@ -462,7 +486,7 @@
 		n.log.Debug("answer", zap.String("member", c.p.id), zap.ByteString("word", ans.Word),
 			zap.ByteString("fields", ans.Fields), zap.Any("request", r.Request), zap.Any("send", a.send))
 	}
-	if !known || !whole || result == spool.OK && !n.classes[r.Class].Write && (!entity || !issued) || same && (r.Seen == "" || len(ans.Body) > 0) {
+	if !known || !whole || result == spool.OK && !r.write && (!entity || !issued) || same && (r.Seen == "" || len(ans.Body) > 0) {
 		n.stats.Spoilt++
 		n.log.Debug("answer", zap.String("member", c.p.id), zap.ByteString("word", ans.Word), zap.ByteString("fields", ans.Fields))
 		c.spoil(a)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"indigospool/internal/feed"
+	"indigospool/internal/limits"
 	"indigospool/internal/loop"
 )
 
@@ -16,12 +17,18 @@
 	up     bool
 	hello  []byte
 	timer  loop.Timer
+	tries  *limits.Again
+	dial   func(address string) (fd int, inProgress bool, err error)
 }
 
-// The feed tells something each second; one that is silent for longer is left.
+// The feed tells something each second; one that is silent for longer is left. It is
+// asked again within 2 s of a break and 4 s of a silence, and no later than half a second
+// after it has come back; all routers lose it in the same moment, and don't ask in step.
 const (
 	feedSilent = 1800 // ms without a byte
-	feedAgain  = 150  // ms between two tries
+	feedFirst  = 250  // ms within which it is asked after a break
+	feedBase   = 150  // ms before the second try
+	feedMost   = 500  // ms between two tries at the most
 )
 
 // connect begins a connection to the feed of the configuration, in place of the one there is.
@@ -29,14 +36,14 @@
 	w.drop()
 	w.timer.F = w.late
 	w.n.l.Arm(&w.timer, feedSilent)
-	fd, _, err := loop.Dial(w.n.cfg.Feed)
+	fd, _, err := w.dial(w.n.cfg.Feed)
 	if err == nil {
 		if err = w.n.l.Add(fd, loop.Read|loop.Write, w); err != nil {
 			closeFD(fd)
 		}
 	}
 	if err != nil {
-		w.n.l.Arm(&w.timer, feedAgain)
+		w.n.l.Arm(&w.timer, w.tries.In())
 		return
 	}
 	w.fd, w.open, w.up = fd, true, false
@@ -59,16 +66,11 @@
 	w.n.l.Disarm(&w.timer)
 }
 
-// again leaves this connection; one that had come up is replaced at once.
+// again leaves this connection for another one.
 func (w *watch) again() {
-	up := w.up
 	w.drop()
 	w.timer.F = w.late
-	in := float64(feedAgain)
-	if up {
-		in = 1
-	}
-	w.n.l.Arm(&w.timer, in)
+	w.n.l.Arm(&w.timer, w.tries.In())
 }
 
 // OnReady is the loop's.
@@ -97,6 +99,7 @@
 		return
 	}
 	w.up = true
+	w.tries.Well()
 	w.n.l.Arm(&w.timer, feedSilent)
 	if err := w.reader.Take(w.n.scratch[:k], w.n.event); err != nil {
 		w.n.log.Warn("feed", zap.Error(err))
--- a/router.go
+++ b/router.go
@@ -183,20 +183,6 @@
 	r.file()
 }
 
-// file files members that are up by their role.
-func (r *Router) file() {
-	r.byRole = [roles][]*member{}
-	for _, m := range r.members {
-		if !m.gone {
-			r.byRole[m.role] = append(r.byRole[m.role], m)
-		}
-	}
-	for _, list := range r.byRole {
-		slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
-	}
-	r.refit()
-}
-
 // watch asks for the subscription where there is none.
 func (r *Router) watch() {
 	if r.s.OnRequest && !r.asked {
@@ -395,6 +381,9 @@
 			send.Timeout = max(min(q.class.Window*0.45, (q.Deadline-r.now)*0.5), 1)
 		}
 	}
+	if q.ran != nil && q.class.Effect == Guarded { // a connection may come up past its window
+		send.Within = max(q.ranAt+q.class.Window-2*r.s.Tick-r.now, leastAge)
+	}
 	if a.fill {
 		r.link.held++
 	}
@@ -728,15 +717,6 @@
 	r.pump()
 }
 
-// hold counts an attempt in (1) or out (-1) of what is held.
-func (r *Router) hold(a *attempt, n float64) {
-	a.at.held += n
-	a.at.out = max(a.at.out+n*a.expect, 0)
-	if a.fill {
-		r.link.held += n
-	}
-}
-
 // aim is how long an answer may take and still earn its worth.
 func (q *request) aim() Millis { return q.class.Aim + q.class.AimStretch*q.work }
 
--- a/state.go
+++ b/state.go
@@ -181,6 +181,29 @@
 	return members, Belief{Held: r.link.held, Room: r.link.room, Tardy: r.link.tardy}
 }
 
+// file files members that are up by their role.
+func (r *Router) file() {
+	r.byRole = [roles][]*member{}
+	for _, m := range r.members {
+		if !m.gone {
+			r.byRole[m.role] = append(r.byRole[m.role], m)
+		}
+	}
+	for _, list := range r.byRole {
+		slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	r.refit()
+}
+
+// hold counts an attempt in (1) or out (-1) of what is held.
+func (r *Router) hold(a *attempt, n float64) {
+	a.at.held += n
+	a.at.out = max(a.at.out+n*a.expect, 0)
+	if a.fill {
+		r.link.held += n
+	}
+}
+
 func total(cost []float64) (sum float64) {
 	for _, c := range cost {
 		sum += c
