What the origin turned away is asked again spread over the time that is left

Now, after a refusal by the origin or behind a parent (the second by parents), what is left of attempts is spread over what is left of time, with chance from the request's id.

--- a/router.go
+++ b/router.go
@@ -365,7 +365,10 @@
 		r.finish(q)
 		return
 	}
-	at, src := r.choose(q)
+	var at, src *member
+	if r.now >= q.hold {
+		at, src = r.choose(q)
+	}
 	if at == nil {
 		q.parked = true // budgets, trials and the link's room come back with the next beats
 		return
@@ -673,6 +676,13 @@
 	}
 	a.at.out = max(a.at.out-a.expect, 0)
 	r.judge(q, a, ev)
+	if ev.Result == Full && (ev.Note == NoteOriginFailed || a.src.role == origin || a.src.role == parent && q.full) {
+		// What is short is behind all that could be asked instead, and is no longer so when asked
+		// again at once, by all: what is left of attempts is spread over what is left of time.
+		spread := (q.Deadline - r.now) / float64(2*max(r.s.MaxAttempts-len(q.tries)+1, 1))
+		q.hold = r.now + spread*(0.5+chance(hashString(q.ID)+uint64(len(q.tries))))
+	}
+	q.full = ev.Result == Full
 	if a.blamed == a.at {
 		if q.seat = nil; ev.Result == Full {
 			q.rest = r.now + restStep*float64(len(q.tries))
--- a/state.go
+++ b/state.go
@@ -78,6 +78,8 @@
 	unfit                bool    // another one's too
 	ran                  *member // where the first attempt that may have run went
 	ranAt                Millis
+	full                 bool   // the last attempt was turned away
+	hold                 Millis // nobody is asked before
 	rest                 Millis // those that turned it away are not asked again before
 }
 
@@ -252,6 +254,9 @@
 	return h ^ h>>31
 }
 
+// chance is a share within [0, 1) that goes with h, the same each time.
+func chance(h uint64) float64 { return float64(mix(h)>>11) / (1 << 53) }
+
 func (q *request) busy() bool {
 	return slices.ContainsFunc(q.tries, func(a attempt) bool { return a.open })
 }
