--- /dev/null
+++ b/.ci/linked/main.go
@@ -0,0 +1,44 @@
+// Linked checks that a program is linked dynamically against the C library, as the
+// platform's bench needs: it has an interpreter and needs libc.
+//
+//	go run ./.ci/linked PROGRAM...
+package main
+
+import (
+	"debug/elf"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+)
+
+func main() {
+	var faults []error
+	for _, file := range os.Args[1:] {
+		faults = append(faults, check(file))
+	}
+	if err := errors.Join(faults...); err != nil || len(os.Args) < 2 {
+		fmt.Fprintln(os.Stderr, "linked:", err)
+		os.Exit(1)
+	}
+}
+
+func check(file string) error {
+	f, err := elf.Open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if !slices.ContainsFunc(f.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
+		return fmt.Errorf("%s has no interpreter: it is linked statically", file)
+	}
+	libs, err := f.ImportedLibraries()
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	if !slices.ContainsFunc(libs, func(l string) bool { return strings.HasPrefix(l, "libc.so") }) {
+		return fmt.Errorf("%s needs %v, and not the C library", file, libs)
+	}
+	return nil
+}
