--- a/router.go
+++ b/router.go
@@ -585,7 +585,7 @@
 // object, the origin where none is up.
 func (r *Router) source(q *request) *member {
 	for pass, again := range []bool{false, true} {
-		for _, p := range append(ranked(r.byRole[parent], q.hash), r.byRole[origin]...) {
+		for _, p := range append(r.weighed(r.byRole[parent], q.hash), r.byRole[origin]...) {
 			why := LetDown
 			if q.failed(p) == again {
 				why = r.bars(p, q)
--- a/state.go
+++ b/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -239,6 +240,15 @@
 	return list
 }
 
+// weighed is the list in falling order of the rendezvous hash weighed by capacity, as far
+// as it is told: one that can serve twice as much is first for twice as many objects.
+func (r *Router) weighed(list []*member, h uint64) []*member {
+	list = slices.Clone(list)
+	key := func(m *member) float64 { return math.Log(max(chance(h^m.hash), 1e-18)) / r.size(m) }
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(key(b), key(a)) })
+	return list
+}
+
 func hashString(s string) uint64 {
 	h := uint64(14695981039346656037)
 	for i := 0; i < len(s); i++ {
