The moments of a drain, of one turn and of a crowd are forced in tests

SIGTERM between accept and first read, with half a request, with a second signal and a new configuration behind it, with an attempt out to a cache that hangs; an answer half written; answers that meet 200 forgets or the end of their time in one turn; idle clients in all places while the feed refuses, and back.

--- a/internal/node/moments_test.go
+++ b/internal/node/moments_test.go
@@ -387,3 +387,229 @@
 		t.Errorf("%d tries in 3 s", n)
 	}
 }
+
+// ends waits for a router that drains, and fails where it doesn't end.
+func (w *world) ends() {
+	w.t.Helper()
+	select {
+	case err := <-w.done:
+		if w.done <- err; err != nil {
+			w.t.Error(err)
+		}
+	case <-time.After(soon):
+		w.t.Error("it does not end")
+	}
+}
+
+// TestDrainMoments: what has come in the very moment of SIGTERM is answered, once, and the
+// router ends; a second signal and a new configuration change nothing.
+func TestDrainMoments(t *testing.T) {
+	b := standin.PlatformCall("serve", 1, clip(key), nil)
+	for _, c := range []struct {
+		name string
+		play func(w *world, c *standin.PlatformClient)
+		word string
+	}{
+		{"between accept and first read", func(w *world, c *standin.PlatformClient) {
+			release := w.hold()
+			c.Write(b)
+			w.n.Drain()
+			time.Sleep(10 * time.Millisecond)
+			release()
+		}, "served"},
+		{"half a request read", func(w *world, c *standin.PlatformClient) {
+			c.Write(b[:30])
+			w.turn()
+			w.n.Drain()
+			time.Sleep(1200 * time.Millisecond) // past the least time of a drain
+			c.Write(b[30:])
+		}, "served"},
+		{"two signals, and another configuration between", func(w *world, c *standin.PlatformClient) {
+			w.n.Drain()
+			w.n.Reload()
+			w.n.Drain()
+			c.Write(b)
+		}, "served"},
+		{"an attempt out to a cache that hangs", func(w *world, c *standin.PlatformClient) {
+			c.Write(standin.PlatformCall("serve", 1, clip("00000000000000aa"), nil))
+			w.turn()
+			w.n.Drain()
+		}, "refused"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			on := func(pc *standin.PlatformConn, q standin.PlatformRequest) {
+				if q.Fields["key"] != "00000000000000aa" {
+					hits(pc, q)
+				}
+			}
+			w := open(t, map[string]handler{"s-000000c1": on, "s-000000c2": on, "s-000000a1": on})
+			cl := w.client()
+			c.play(w, cl)
+			if r, err := cl.Result(soon); err != nil || r.Word != c.word {
+				t.Errorf("%+v %v", r, err)
+			}
+			if _, err := cl.Result(soon); err != io.EOF {
+				t.Errorf("then %v; an end is wanted", err)
+			}
+			cl.Close()
+			w.ends()
+		})
+	}
+}
+
+// TestDrainWithAnAnswerHalfWritten: its client reads slowly, and gets the whole of it.
+func TestDrainWithAnAnswerHalfWritten(t *testing.T) {
+	t.Parallel()
+	big := func(c *standin.PlatformConn, q standin.PlatformRequest) {
+		if !q.Stop {
+			c.Hit(q.ID, make([]byte, 240000))
+		}
+	}
+	w := open(t, map[string]handler{"s-000000c1": big, "s-000000c2": big})
+	c := w.client()
+	c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	for range 30 { // more than the kernel holds
+		c.Ask(clip(key), nil)
+	}
+	w.until("something waits", func() (yes bool) {
+		w.n.l.Call(soon, func() { yes = w.n.waiting > 0 })
+		return yes
+	})
+	w.n.Drain()
+	time.Sleep(1500 * time.Millisecond)
+	for i := range 30 {
+		if r, err := c.Result(soon); err != nil || r.Word != "served" || len(r.Body) != 240000 {
+			t.Fatalf("answer %d: %s of %d bytes, %v", i, r.Word, len(r.Body), err)
+		}
+	}
+	c.Close()
+	w.ends()
+}
+
+// TestOneTurn: a client's forget, or the end of its time, in the turn of the cache's answer:
+// one final answer at most, and nothing is left behind. 200 at once.
+func TestOneTurn(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			t.Parallel()
+			answers := make(chan func(), 400)
+			wait := func(c *standin.PlatformConn, q standin.PlatformRequest) {
+				if !q.Stop {
+					answers <- func() { hits(c, q) }
+				}
+			}
+			w := open(t, map[string]handler{"s-000000c1": wait, "s-000000c2": wait})
+			var clients []*standin.PlatformClient
+			for range 8 {
+				c := w.client()
+				clients = append(clients, c)
+				for range 25 {
+					c.Ask(clip(key, "wait", "700"), nil)
+				}
+			}
+			w.until("as many are out as the gates let through", func() bool { return len(answers) >= 50 })
+			w.turn()
+			release := w.hold()
+			for range len(answers) {
+				(<-answers)()
+			}
+			for _, c := range clients {
+				for i := range int32(25) {
+					if !late {
+						c.Write(standin.PlatformForget(100+i, 1+i))
+					}
+				}
+			}
+			if late {
+				time.Sleep(800 * time.Millisecond)
+			}
+			time.Sleep(20 * time.Millisecond)
+			release()
+			w.turn()
+			for _, c := range clients {
+				seen := map[int32]bool{}
+				for {
+					r, err := c.Result(200 * time.Millisecond)
+					if err != nil {
+						break
+					}
+					if seen[r.Seq] {
+						t.Fatalf("two answers to %d", r.Seq)
+					}
+					seen[r.Seq] = true
+				}
+				if late && len(seen) != 25 {
+					t.Errorf("%d of 25 answered", len(seen))
+				}
+			}
+			w.n.l.Call(soon, func() {
+				if len(w.n.reqs) > 0 || w.n.waiting > 0 {
+					t.Errorf("%d requests and %d bytes are left", len(w.n.reqs), w.n.waiting)
+				}
+				for id, m := range beliefs(w.n) {
+					if m != 0 {
+						t.Errorf("%v attempts are believed to be out at %s", m, id)
+					}
+				}
+			})
+		})
+	}
+}
+
+func beliefs(n *Node) map[string]float64 {
+	out := map[string]float64{}
+	members, _ := n.core.Beliefs()
+	for id, b := range members {
+		out[id] = b.Held
+	}
+	return out
+}
+
+// TestCrowdWhileTheFeedIsDown: idle clients take all places there are while the feed
+// refuses; who works is served, and the feed is found when it is back.
+func TestCrowdWhileTheFeedIsDown(t *testing.T) {
+	t.Parallel()
+	w := openWith(t, nil)
+	w.until("the feed is asked", func() bool { return w.tell.Load() != nil })
+	address := w.feed.Addr
+	w.feed.Close()
+	w.say(nil)
+	worker := w.client()
+	ask := func() {
+		t.Helper()
+		worker.Ask(clip(key), nil)
+		if r, err := worker.Result(soon); err != nil || r.Word != "served" {
+			t.Fatalf("%+v %v", r, err)
+		}
+	}
+	ask()
+	for range 300 { // more than the configuration's descriptors
+		c, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	w.turn()
+	ask()
+	if r := w.ask(clip(key), nil); r.Word != "served" {
+		t.Errorf("a new client: %+v", r)
+	}
+	before := w.asked.Load()
+	again, err := standin.NewPlatformFeedAt(address, func(net.Conn, uint64) { w.asked.Add(1); <-t.Context().Done() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(again.Close)
+	begin := time.Now()
+	w.until("the feed is found again", func() bool { return w.asked.Load() > before })
+	if d := time.Since(begin); d > 900*time.Millisecond {
+		t.Errorf("found after %v", d)
+	}
+	w.n.l.Call(soon, func() {
+		if n := len(w.n.clients); n > w.n.places.Clients {
+			t.Errorf("%d clients, %d places", n, w.n.places.Clients)
+		}
+	})
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -178,7 +178,12 @@
 
 // NewPlatformFeed listens; on gets each connection, with the number that it began with.
 func NewPlatformFeed(on func(c net.Conn, last uint64)) (*PlatformFeed, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewPlatformFeedAt("127.0.0.1:0", on)
+}
+
+// NewPlatformFeedAt listens at an address, such as that of one that was closed.
+func NewPlatformFeedAt(address string, on func(c net.Conn, last uint64)) (*PlatformFeed, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
