Purges take back what has not left; no connection outlives its member; settings are named

From reading the paths that end things, each with a test that fails without its line: an attempt that waits for its connection carried the age decided before a purge that was told meanwhile (seen in the test 916 ms after the purge as within=); such attempts are taken back and decided again. A connection dialled for a member that then went, and whose attempt was given up, came up and was kept for good (it counted among the descriptors for members); it is closed. A configuration without a class's effect was taken as 'may be repeated'; it is refused now, and class, field and reason are named, also for windows, deadlines, negative worth and max_attempts.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"strconv"
 
+	spool "indigospool"
 	"indigospool/internal/wire"
 )
 
@@ -49,6 +51,9 @@
 	if err := c.settings.Module.Valid(); err != nil {
 		return nil, fmt.Errorf("%s: settings: %w", file, err)
 	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", file, err)
+	}
 	if _, err := netip.ParseAddrPort(c.Feed); err != nil {
 		return nil, fmt.Errorf("%s: feed %.40q is no address with a port: %w", file, c.Feed, err)
 	}
@@ -59,3 +64,42 @@
 	c.seed, _ = strconv.ParseUint(c.Seed, 16, 64) // any seed will do
 	return c, nil
 }
+
+// check names the first field without which requests would be handled otherwise than
+// whoever wrote the settings meant: a write whose effect is left out is not one that may
+// be repeated at will.
+func (c *Config) check() error {
+	var raw struct {
+		Classes []struct {
+			Name, Idempotency string
+		}
+		Limits struct {
+			MaxAttempts *float64 `json:"max_attempts"`
+		}
+	}
+	if err := json.Unmarshal(c.Settings, &raw); err != nil {
+		return err
+	}
+	if n := raw.Limits.MaxAttempts; n == nil || *n < 1 {
+		return errors.New("limits: max_attempts is missing or under 1")
+	}
+	for i, k := range c.settings.Module.Classes {
+		fault := ""
+		switch {
+		case k.Name == "":
+			fault = "name is missing"
+		case raw.Classes[i].Idempotency == "":
+			fault = "idempotency is missing: free, guarded or single_shot"
+		case k.Deadline <= 0:
+			fault = fmt.Sprintf("give_up is %v; it has to be above 0", k.Deadline)
+		case k.Aim < 0 || k.Worth < 0 || k.LateWorth < 0:
+			fault = "aim, gain or late_worth is negative"
+		case k.Effect == spool.Guarded && k.Window <= 0:
+			fault = fmt.Sprintf("window is %v; a guarded class needs one above 0", k.Window)
+		default:
+			continue
+		}
+		return fmt.Errorf("classes[%d] %.40q: %s", i, k.Name, fault)
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,6 +181,7 @@
 	unix := float64(time.Now().UnixMicro()) / 1000
 	if !ev.Listed {
 		n.tell(spool.Purge{Object: ev.Object, Group: ev.Group, Age: max(unix-float64(ev.At), 0)})
+		n.purged(ev.Object, ev.Group)
 		return
 	}
 	news := core.News{Rev: int64(ev.N), How: "step"}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -84,6 +84,22 @@
 		a.send.Source != "" && !serves(a.send.Source)
 }
 
+// purged takes back what has not begun to be written for an object, or for a group: the
+// age of copies that it would ask for was decided before the purge.
+func (n *Node) purged(object string, group int) {
+	var list []*attempt
+	for _, r := range n.reqs {
+		if a := r.out; a != nil && a.c != nil && !a.written && a.c.writing != a &&
+			(r.Key == object || object == "" && r.Group == group) {
+			list = append(list, a)
+		}
+	}
+	for _, a := range list {
+		a.leave()
+		a.end(spool.Moot, spool.NoteNone, 0)
+	}
+}
+
 // giveUp ends the wait for an attempt: nothing of it comes back any more.
 func (a *attempt) giveUp(result spool.Result) {
 	if a.done {
@@ -319,6 +335,10 @@
 			c.open = append(c.open, a)
 		}
 		if len(c.pend) == 0 {
+			if c.retired && len(c.open) == 0 { // what it was dialled for has been given up meanwhile
+				c.close()
+				return
+			}
 			n.l.Want(c.fd, loop.Read)
 			return
 		}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -170,10 +170,10 @@
 			InParts: at(fam.InParts, i), Write: at(fam.ClassWrite, i),
 			Fresh: at(fam.Lifetime, i), Grace: at(fam.OlderBy, i), StaleWorth: at(fam.StaleEarns, i)}
 		if k.Effect, err = pick(effects, c.Idempotency, "idempotency"); err != nil {
-			return s, err
+			return s, fmt.Errorf("class %.40q: %w", c.Name, err)
 		}
 		if k.Group, err = pick(scopes, c.Group, "group"); err != nil {
-			return s, err
+			return s, fmt.Errorf("class %.40q: %w", c.Name, err)
 		}
 		s.Classes = append(s.Classes, k)
 	}
