What is turned away behind all sources has each router ask for less

Such refusals came back fast and counted as good for the gate on fills, which stayed open (room 31). They count as tardy now. The test of both this and the spread repeats fails without either.

--- a/router.go
+++ b/router.go
@@ -683,9 +683,9 @@
 	}
 	a.at.out = max(a.at.out-a.expect, 0)
 	r.judge(q, a, ev)
-	behind := ev.Note == NoteOriginFailed || a.at.role == origin ||
-		ev.Note == NoteSourceRefused && (a.src.role == origin || q.full)
-	if behind && ev.Result == Full {
+	behind := ev.Result == Full && (ev.Note == NoteOriginFailed || a.at.role == origin ||
+		ev.Note == NoteSourceRefused && (a.src.role == origin || q.full))
+	if behind {
 		// What is short is behind all that could be asked instead, and is no longer so when asked
 		// again at once, by all: what is left of attempts is spread over what is left of time.
 		spread := (q.Deadline - r.now) / float64(2*max(r.s.MaxAttempts-len(q.tries)+1, 1))
@@ -697,7 +697,7 @@
 			q.rest = r.now + restStep*float64(len(q.tries))
 		}
 	}
-	late := max(r.now-a.sent-ev.Waited, tardyPart*ev.Waited) > tardyPart*q.aim() // the source may be far
+	late := max(r.now-a.sent-ev.Waited, tardyPart*ev.Waited) > tardyPart*q.aim() || behind // the source may be far
 	if a.at.held = max(a.at.held-1, 0); a.fill {
 		r.link.held--
 	}
--- a/router_test.go
+++ b/router_test.go
@@ -987,3 +987,41 @@
 		}
 	}
 }
+
+// TestWhatIsShortBehindAll: a write that the origin turns away is not sent again at once but
+// spread over its time, at different times by request; and what is short behind all sources
+// has the router ask for less.
+func TestWhatIsShortBehindAll(t *testing.T) {
+	g := newRig(t, testSettings())
+	var first []Millis
+	for range 2 {
+		q, acts := g.ask("save", "o"+strconv.Itoa(g.n), 0)
+		begin, n, last := g.now, 0, g.now
+		for g.now < begin+3000 {
+			for list := sends(acts); len(list) > 0; list = sends(acts) {
+				if n == 1 {
+					first = append(first, g.now-begin)
+				}
+				n, last = n+1, g.now
+				acts = g.do(Outcome{ID: q, Cache: list[0].Cache, Attempt: n - 1, Result: Full, Note: NoteSourceRefused})
+			}
+			acts = g.wait(beatSpan)
+		}
+		if n < 3 || n > 6 || last-begin < 1000 {
+			t.Errorf("%d attempts, the last after %v ms", n, last-begin)
+		}
+	}
+	if len(first) != 2 || first[0] == first[1] || min(first[0], first[1]) < 50 {
+		t.Errorf("the second attempts come after %v", first)
+	}
+	before := g.r.link.room
+	for i := range 40 {
+		q, s, n := g.fill("page", fmt.Sprint("s", i), 0)
+		g.do(Outcome{ID: q, Cache: s.Cache, Attempt: n, Result: Full, Note: NoteOriginFailed, Took: 5})
+		g.wait(200)
+		if g.r.link.room < before/2 {
+			return
+		}
+	}
+	t.Errorf("room for fills is %v still, %v before", g.r.link.room, before)
+}
