The HTTP front too sends what may leave within a time in time or not at all

Send.Within is the module's bound for a repeat whose window ends; the edge's attempts wait for connections as the node's do. What still waits then is taken back (Moot), as on drains and purges.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -636,6 +636,36 @@
 	}
 }
 
+// An attempt that may leave only within a time, and waits for a connection for longer,
+// does not leave.
+func TestLeavesInTimeOrNotAtAll(t *testing.T) {
+	r := newRig(t, 1, "(upstream 1)")
+	r.boxes["b0"].Fault(standin.Fault{Kind: standin.Hang, For: 800})
+	var wg sync.WaitGroup
+	for i := range 3 {
+		wg.Go(func() { r.get(fmt.Sprintf("/s/1/l%d", i)) })
+	}
+	r.waitFor("attempts that wait", func(*Stats, *core.Core) bool {
+		p := r.e.pools[r.boxes["b0"].Addr()]
+		return p != nil && len(p.wait) > 0
+	})
+	var bound *try
+	r.e.Query(func(*Stats, *core.Core) {
+		for id, q := range r.e.reqs {
+			r.e.send(&spool.Send{ID: id, Cache: "b0", Source: "b0", Within: 50})
+			bound = q.tries[len(q.tries)-1]
+			return
+		}
+	})
+	time.Sleep(200 * time.Millisecond)
+	r.e.Query(func(*Stats, *core.Core) {
+		if !bound.done || bound.written {
+			t.Errorf("after its time: done %v, written %v", bound.done, bound.written)
+		}
+	})
+	wg.Wait()
+}
+
 // GETs follow one another on one connection where that is allowed: each gets
 // its own object; one that is given up is passed over; writes never follow.
 func TestPipelinedToMember(t *testing.T) {
--- a/internal/edge/upstream.go
+++ b/internal/edge/upstream.go
@@ -54,6 +54,10 @@
 	e.l.Arm(&t.timer, left)
 	t.p = e.pool(address, a.Cache)
 	t.p.start(t)
+	if a.Within > 0 && !t.written && !t.done { // its window ends while it waits for a connection
+		id, n := a.ID, t.n
+		e.l.Once(a.Within, func() { e.takeBack(func(t *try) bool { return t.send.ID == id && t.n == n }) })
+	}
 }
 
 func (t *try) timedOut() {
