Chance goes by what a request asks, when and where, and not by its id

TestDrift found that a request that never was, asked in another's place, was decided otherwise: the chance that lends it a cold member's place came from its id. It comes from the router's seed, the time and the object now. TestHypothetical has 130 requests, ended, since ranges begin with 128; it wants the same.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -159,8 +159,13 @@
 func TestHypothetical(t *testing.T) {
 	j := func() *journal.Reader {
 		return record(t, func(h func(float64, spool.Event) []spool.Action, c *core.Core) {
-			for i := range 100 {
-				h(float64(10+i), film(fmt.Sprint("q", i), i%10))
+			for i := range 130 { // ranges begin with 128
+				id := fmt.Sprint("q", i)
+				for _, a := range h(float64(10+i), film(id, i%10)) {
+					if s, ok := a.(spool.Send); ok {
+						h(float64(10+i), spool.Outcome{ID: id, Cache: s.Cache, Result: spool.OK, Took: 1, Last: true})
+					}
+				}
 			}
 			for _, ev := range c.Apply(200, core.FromStep(2, []config.Member{{ID: "b1", Zone: "z", Kind: "box", State: "draining"}}, false)).Events {
 				h(200, ev)
--- a/router.go
+++ b/router.go
@@ -338,6 +338,7 @@
 		return
 	}
 	q := &request{Request: ev, class: c, hash: hashString(ev.Object), arrived: r.now}
+	q.draw = r.draw(q)
 	if ev.Deadline <= 0 {
 		q.Deadline = r.now + c.Deadline
 	}
@@ -617,7 +618,7 @@
 	// each may go beyond its budget by one, with a chance such that all bring half of the ordinary load
 	// that it can bear by then. What waits is as much as has gathered, and may not.
 	lent := !q.waited && m.tokens > -r.cost(m, q) && !r.retired && r.ordinary(m, q)
-	if !lent || chance(hashString(q.ID)+m.hash) >= coldLent*r.warmth(m) {
+	if !lent || chance(q.draw+m.hash) >= coldLent*r.warmth(m) {
 		return ColdSpent
 	}
 	return Taken
@@ -690,7 +691,7 @@
 		// What is short is behind all that could be asked instead, and is no longer so when asked
 		// again at once, by all: what is left of attempts is spread over what is left of time.
 		spread := (q.Deadline - r.now) / float64(2*max(r.s.MaxAttempts-len(q.tries)+1, 1))
-		q.hold = r.now + spread*(0.5+chance(hashString(q.ID)+uint64(len(q.tries))))
+		q.hold = r.now + spread*(0.5+chance(q.draw+uint64(len(q.tries))))
 	}
 	q.full = ev.Result == Full
 	if a.blamed == a.at {
--- a/state.go
+++ b/state.go
@@ -67,7 +67,7 @@
 type request struct {
 	Request
 	class                *class
-	hash                 uint64
+	hash, draw           uint64
 	arrived              Millis
 	token                int64  // of its deadline's timer
 	work                 Millis // own sending time, as told or as its class takes
@@ -287,6 +287,12 @@
 	}
 }
 
+// draw is what chance goes by for a request: another one at another time, and at another
+// router, but the same for one that asks the same in its place.
+func (r *Router) draw(q *request) uint64 {
+	return mix(r.seed^math.Float64bits(q.arrived)) + q.hash + uint64(q.Part)
+}
+
 // chance is a share within [0, 1) that goes with h, the same each time.
 func chance(h uint64) float64 { return float64(mix(h)>>11) / (1 << 53) }
 
