--- a/fleet_test.go
+++ b/fleet_test.go
@@ -197,3 +197,29 @@
 		}
 	}
 }
+
+// TestWhatWaitsNeedsBudget: a request that comes may go beyond a cold member's budget; one
+// that has waited may not. Many routers let go at once what had gathered: seen as a parent
+// that was asked for 4.6 times what it could give.
+func TestWhatWaitsNeedsBudget(t *testing.T) {
+	g := newRig(t, testSettings())
+	m := g.r.members["e2"]
+	g.wait(20000)
+	m.ReadyAt = g.now - 9000
+	taken := 0
+	for i := range 400 {
+		q := &request{Request: Request{Object: fmt.Sprint("w", i)}, class: g.r.classes["page"], hash: hashString(fmt.Sprint("w", i)), arrived: g.now}
+		q.draw = g.r.draw(q)
+		m.tokens, m.topped = -1, g.now
+		if g.r.bars(m, q) != Taken {
+			continue
+		}
+		taken++
+		if q.waited = true; g.r.bars(m, q) != ColdSpent {
+			t.Fatalf("%s has waited, and goes beyond the budget", q.Object)
+		}
+	}
+	if taken < 10 || taken > 80 { // a third are its own, and a half of 0.6 of these
+		t.Errorf("%d of 400 go beyond the budget", taken)
+	}
+}
