--- a/internal/node/moments_test.go
+++ b/internal/node/moments_test.go
@@ -376,12 +376,7 @@
 		t.Errorf("then %v; an end is wanted", err)
 	}
 	c.Close()
-	select {
-	case err := <-w.done:
-		w.done <- err
-	case <-time.After(soon):
-		t.Error("it does not end")
-	}
+	w.ends()
 	if n := w.sent(); n != before {
 		t.Errorf("%d attempts after the shutdown", n-before)
 	}
