--- a/internal/node/moments_test.go
+++ b/internal/node/moments_test.go
@@ -336,17 +336,21 @@
 	}
 }
 
+// large answers with so many bytes.
+func large(n int) handler {
+	return func(c *standin.PlatformConn, q standin.PlatformRequest) {
+		if !q.Stop {
+			c.Hit(q.ID, make([]byte, n))
+		}
+	}
+}
+
 // TestLeavingResetsNothing: a router that has drained shuts connections at rest and reads
 // on: a request that comes in that moment is not sent on, and an answer that its client
 // has not read yet is not lost by a reset.
 func TestLeavingResetsNothing(t *testing.T) {
 	t.Parallel()
-	big := func(c *standin.PlatformConn, q standin.PlatformRequest) {
-		if !q.Stop {
-			c.Hit(q.ID, make([]byte, 200000))
-		}
-	}
-	w := open(t, map[string]handler{"s-000000c1": big, "s-000000c2": big})
+	w := open(t, map[string]handler{"s-000000c1": large(200000), "s-000000c2": large(200000)})
 	c := w.client()
 	c.Ask(clip(key), nil)
 	w.until("it is answered", func() bool {
@@ -472,12 +476,7 @@
 // TestDrainWithAnAnswerHalfWritten: its client reads slowly, and gets the whole of it.
 func TestDrainWithAnAnswerHalfWritten(t *testing.T) {
 	t.Parallel()
-	big := func(c *standin.PlatformConn, q standin.PlatformRequest) {
-		if !q.Stop {
-			c.Hit(q.ID, make([]byte, 240000))
-		}
-	}
-	w := open(t, map[string]handler{"s-000000c1": big, "s-000000c2": big})
+	w := open(t, map[string]handler{"s-000000c1": large(240000), "s-000000c2": large(240000)})
 	c := w.client()
 	c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
 	for range 30 { // more than the kernel holds
