Review, case 2: bad clients delay purges past their grace

Seen: with 130 bad clients that send at full speed, turns of the event loop take about half a second. The control feed is read after all clients of a turn, so that a purge takes effect up to two turns after it was told, and requests sent meanwhile are answered from older copies.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -92,7 +92,7 @@
 	recordName := flag.String("record", "record.txt", "file for the record")
 	flag.StringVar(&e.root, "root", ".", "root of the project")
 	flag.Parse()
-	cases := map[string]func(*env) error{"withdraw": withdraw}
+	cases := map[string]func(*env) error{"withdraw": withdraw, "purge": purge}
 	play := cases[flag.Arg(0)]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "standin: no such case")
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -49,6 +49,17 @@
 	return append(append(binary.BigEndian.AppendUint64(b, number), kind), payload...)
 }
 
+// tell adds an event and returns its number.
+func (f *feed) tell(kind byte, payload []byte) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	number := f.first + uint64(len(f.events))
+	f.events = append(f.events, feedFrame(number, kind, payload))
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return number
+}
+
 func (f *feed) serve(conn net.Conn) {
 	defer conn.Close()
 	var b [8]byte
--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -20,6 +20,13 @@
 	typeMap    = 13
 )
 
+// Where the sequence numbers stand in the frames of serve and forget.
+const (
+	serveSeqOffset  = 12 + len("serve")
+	forgetSeqOffset = 12 + len("forget")
+	forgetArgOffset = forgetSeqOffset + 4 + 3
+)
+
 func thriftHead(name string, kind byte, seq int32) []byte {
 	b := []byte{0, 0, 0, 0, 0x80, 0x01, 0, kind}
 	b = binary.BigEndian.AppendUint32(b, uint32(len(name)))
--- a/review/standin/withdraw.go
+++ b/review/standin/withdraw.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"math"
 	"math/rand"
 	"net"
@@ -64,24 +66,27 @@
 		}
 	}
 	source := func(c *call) { answerWith(c, "fetched", fillTime+sendTime(c)) }
-	for _, member := range []struct {
-		id, zone, kind string
-		handle         func(*call)
-	}{
-		{"s-000000c1", branch, kinds[0], box},
-		{"s-000000c2", branch, kinds[0], box},
-		{"s-000000c3", branch, kinds[0], box},
-		{"s-000000b1", hub, kinds[1], source},
-		{"s-000000b2", hub, kinds[1], source},
-		{"s-000000a1", hub, kinds[2], source},
-	} {
-		c, err := newCache(e.rec, member.id, member.zone, member.kind, member.handle)
-		if err != nil {
-			return nil, err
+	return startMembers(e, []func(*call){box, box, box}, source)
+}
+
+// startMembers starts the caches of the branch, two upper caches and the store, and returns their
+// rows for the known list.
+func startMembers(e *env, boxes []func(*call), source func(*call)) (rows []map[string]any, err error) {
+	add := func(id, zone, kind string, handle func(*call)) {
+		var c *cache
+		if err == nil {
+			if c, err = newCache(e.rec, id, zone, kind, handle); err == nil {
+				rows = append(rows, memberRow(c, 0))
+			}
 		}
-		rows = append(rows, memberRow(c, 0))
 	}
-	return rows, nil
+	for i, box := range boxes {
+		add(fmt.Sprintf("s-000000c%d", i+1), branch, kinds[0], box)
+	}
+	add("s-000000b1", hub, kinds[1], source)
+	add("s-000000b2", hub, kinds[1], source)
+	add("s-000000a1", hub, kinds[2], source)
+	return rows, err
 }
 
 // withdraw: the usual clients send requests and give some up, as on any day. The disruption is
@@ -109,7 +114,8 @@
 	clients := make([]*usualClient, withdrawConns)
 	var group sync.WaitGroup
 	for n := range clients {
-		clients[n] = &usualClient{env: e, router: r, number: n, random: rand.New(rand.NewSource(int64(1000 + n)))}
+		clients[n] = &usualClient{env: e, router: r, number: n, random: rand.New(rand.NewSource(int64(1000 + n))), newAsk: newAsk,
+			burst: withdrawBurst, pause: withdrawPause}
 		group.Go(func() { clients[n].run(stop) })
 	}
 	group.Wait()
@@ -131,11 +137,15 @@
 // requests.
 type usualClient struct {
 	*env
-	router *router
-	number int
-	random *rand.Rand
-	conns  []*clientConn
-	asks   []*ask
+	router  *router
+	number  int
+	random  *rand.Rand
+	newAsk  func(*rand.Rand) *ask
+	burst   int
+	pause   time.Duration // between two bursts, on average
+	patient bool          // it withdraws nothing
+	conns   []*clientConn
+	asks    []*ask
 }
 
 func (u *usualClient) run(stop time.Time) {
@@ -157,18 +167,18 @@
 		open := c.openAsks()
 		var forget, asks []*ask
 		for _, a := range open {
-			if time.Since(a.sentAt) > time.Duration(a.wait)*time.Millisecond/2 {
+			if !u.patient && time.Since(a.sentAt) > time.Duration(a.wait)*time.Millisecond/2 {
 				forget = append(forget, a)
 			}
 		}
-		for range min(maxOpen-(len(open)-len(forget)), withdrawBurst) {
-			asks = append(asks, u.newAsk())
+		for range min(maxOpen-(len(open)-len(forget)), u.burst) {
+			asks = append(asks, u.newAsk(u.random))
 		}
 		if len(asks)+len(forget) > 0 {
 			u.asks = append(u.asks, asks...)
 			c.send(forget, asks)
 		}
-		time.Sleep(withdrawPause/2 + time.Duration(u.random.Int63n(int64(withdrawPause))))
+		time.Sleep(u.pause/2 + time.Duration(u.random.Int63n(int64(u.pause))))
 	}
 	if c != nil && !c.isClosed() {
 		time.Sleep(6 * time.Second) // the answers that are still owed
@@ -179,10 +189,10 @@
 // maxOpen is how many open requests one connection carries.
 const maxOpen = 32
 
-func (u *usualClient) newAsk() *ask {
-	a := &ask{id: fmt.Sprintf("%016x", u.random.Uint64()), class: "walkthrough-video", wait: 5000,
-		key: fmt.Sprintf("%016x", u.random.Intn(400)+0x1000), part: fmt.Sprint(u.random.Intn(10))}
-	if u.random.Intn(2) == 0 {
+func newAsk(random *rand.Rand) *ask {
+	a := &ask{id: fmt.Sprintf("%016x", random.Uint64()), class: "walkthrough-video", wait: 5000,
+		key: fmt.Sprintf("%016x", random.Intn(400)+0x1000), part: fmt.Sprint(random.Intn(10))}
+	if random.Intn(2) == 0 {
 		a.class, a.part, a.wait = "drawing-image", "0", 2500
 	}
 	return a
@@ -192,9 +202,14 @@
 // it is sent.
 func (e *env) badClient(address string, number int, stop time.Time) {
 	random := rand.New(rand.NewSource(int64(100000 + number)))
-	fields := func() []string {
-		return []string{"class", "walkthrough-video", "id", fmt.Sprintf("%016x", random.Uint64()), "wait", "5000",
-			"key", fmt.Sprintf("%016x", random.Intn(400)+0x1000), "slice", fmt.Sprint(random.Intn(10)), "set", "17"}
+	var burst []byte // the same calls each time, with new numbers
+	var pairs [][2]int
+	for range badPairs {
+		at := len(burst)
+		burst = append(burst, serveFrame(0, nil, "class", "walkthrough-video", "id", fmt.Sprintf("%016x", random.Uint64()), "wait", "5000",
+			"key", fmt.Sprintf("%016x", random.Intn(400)+0x1000), "slice", fmt.Sprint(random.Intn(10)), "set", "17")...)
+		pairs = append(pairs, [2]int{at, len(burst)})
+		burst = append(burst, forgetFrame(0, 0)...)
 	}
 	for time.Now().Before(stop) {
 		conn, err := net.DialTimeout("tcp", address, 2*time.Second)
@@ -202,31 +217,23 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		go func() {
-			reader := newReader(conn)
-			for {
-				if _, err := readReply(reader); err != nil {
-					conn.Close()
-					return
-				}
-			}
-		}()
-		pairs, seq := 0, int32(0)
+		go io.Copy(io.Discard, conn)
+		sent, seq := 0, uint32(0)
 		for time.Now().Before(stop) {
-			var burst []byte
-			for range badPairs {
+			for _, pair := range pairs {
 				seq++
-				burst = append(burst, serveFrame(seq, nil, fields()...)...)
+				binary.BigEndian.PutUint32(burst[pair[0]+serveSeqOffset:], seq)
+				binary.BigEndian.PutUint32(burst[pair[1]+forgetArgOffset:], seq)
 				seq++
-				burst = append(burst, forgetFrame(seq, seq-1)...)
+				binary.BigEndian.PutUint32(burst[pair[1]+forgetSeqOffset:], seq)
 			}
 			conn.SetWriteDeadline(time.Now().Add(20 * time.Second))
 			if _, err := conn.Write(burst); err != nil {
 				break
 			}
-			pairs += badPairs
+			sent += badPairs
 		}
-		e.rec.logf("bad-client-%d: %d requests sent and withdrawn", number, pairs)
+		e.rec.logf("bad-client-%d: %d requests sent and withdrawn", number, sent)
 		conn.Close()
 	}
 }
