--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,6 +8,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -16,16 +19,17 @@
 	rec          *record
 	root, folder string
 	trouble      bool
+	mu           sync.Mutex // guards routers
 	routers      []*router
 	broken       bool
 }
 
 func (e *env) startRouter(name string, config map[string]any) (*router, error) {
-	r, err := startRouter(e.rec, e.root, e.folder, name, config)
-	if err == nil {
+	return startRouter(e.rec, e.root, e.folder, name, config, func(r *router) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
 		e.routers = append(e.routers, r)
-	}
-	return r, err
+	})
 }
 
 // breach records a broken rule.
@@ -114,11 +118,22 @@
 	}
 	defer e.rec.close()
 	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
 		for _, r := range e.routers {
 			r.kill()
 		}
 	}()
-	if err := play(e); err != nil {
+	played := make(chan error, 1)
+	go func() { played <- play(e) }()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case err = <-played:
+	case got := <-stopped: // the routers are ended in this case too
+		err = fmt.Errorf("stopped by a signal: %v", got)
+	}
+	if err != nil {
 		e.rec.say("cannot run: %v", err)
 		return 2
 	}
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -129,7 +129,9 @@
 	return listener.Addr().String(), nil
 }
 
-func startRouter(rec *record, root, folder, name string, config map[string]any) (*router, error) {
+// startRouter starts a router and waits until it is ready. started is called with it once its process
+// runs.
+func startRouter(rec *record, root, folder, name string, config map[string]any, started func(*router)) (*router, error) {
 	command, err := runCommand(root)
 	if err != nil {
 		return nil, err
@@ -156,6 +158,7 @@
 		r.exit = r.cmd.Wait()
 		close(r.exited)
 	}()
+	started(r)
 	for range 200 {
 		if r.well() {
 			return r, nil
