--- a/review/standin-2/harness.go
+++ b/review/standin-2/harness.go
@@ -29,9 +29,13 @@
 	mu     sync.Mutex
 	record *os.File
 	procs  []*process
+	ending bool // no further process is started
 	broken []string
 }
 
+// longest is how long a play may take: it is ended then, as one that could not run.
+const longest = 112 * time.Second
+
 // process is a program of the project that the drill has started.
 type process struct {
 	name string
@@ -72,15 +76,21 @@
 	p := &process{name: name + " " + strings.Join(args, " "), cmd: exec.Command("bin/"+name, args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = output, output
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
-		d.giveUp("start %s: %v", p.name, err)
+	d.mu.Lock()
+	if d.ending {
+		err = fmt.Errorf("the play is ending")
+	} else if err = p.cmd.Start(); err == nil {
+		d.procs = append(d.procs, p)
+		go func() {
+			p.cmd.Wait()
+			close(p.done)
+		}()
 	}
+	d.mu.Unlock()
 	output.Close()
-	go func() {
-		p.cmd.Wait()
-		close(p.done)
-	}()
-	d.procs = append(d.procs, p)
+	if err != nil {
+		d.giveUp("start %s: %v", p.name, err)
+	}
 	d.note("started %s as process %d", name, p.cmd.Process.Pid)
 	return p
 }
@@ -99,7 +109,11 @@
 
 // end kills all processes and removes the temporary folder.
 func (d *drill) end() {
-	for _, p := range d.procs {
+	d.mu.Lock()
+	d.ending = true
+	procs := d.procs
+	d.mu.Unlock()
+	for _, p := range procs {
 		if p.runsStill() {
 			p.signal(syscall.SIGCONT)
 			p.signal(syscall.SIGKILL)
@@ -388,7 +402,7 @@
 	}
 	d := &drill{trouble: os.Getenv("TROUBLE") != "0", dir: dir, start: time.Now(), record: record}
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	os.Exit(d.play(play, stop))
 }
 
@@ -407,7 +421,12 @@
 		}
 	}()
 	go func() {
-		<-stop
+		select {
+		case s := <-stop:
+			d.note("ended by a signal: %v", s)
+		case <-time.After(longest):
+			d.note("ended: the play takes too long")
+		}
 		d.end()
 		os.Exit(2)
 	}()
