Cache: a copy generated before a purge is not kept, whenever its fill began

Cause: the store ordered purges and copies by the begin of the fill only; a parent that had not received the purge yet sent its old copy to a fill that began after it.

--- a/internal/cachenode/server/cache.go
+++ b/internal/cachenode/server/cache.go
@@ -134,12 +134,13 @@
 		warn = func(string) {}
 	}
 	sync := map[string]store.Sync{"segments": store.SyncSegments, "copies": store.SyncObjects}[cfg.Sync]
-	opened, recovered, err := store.Open(fs, store.Options{MaxBytes: int64(cfg.CapacityMB * (1 << 20)), SegmentBytes: int64(cfg.SegmentMB * (1 << 20)), Sync: sync, Warn: warn})
+	s := &Server{cfg: cfg, warn: warn, conns: map[*conn]struct{}{}, fills: map[string]*fill{}, idleSources: map[string][]*sourceConn{},
+		scratch: make([]byte, 256<<10), stopped: make(chan struct{}), startedAt: time.Now(), startWall: wallClock()}
+	opened, recovered, err := store.Open(fs, store.Options{MaxBytes: int64(cfg.CapacityMB * (1 << 20)), SegmentBytes: int64(cfg.SegmentMB * (1 << 20)), Sync: sync, Warn: warn, AgeClock: s.now})
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{cfg: cfg, store: opened, Recovered: recovered, warn: warn, conns: map[*conn]struct{}{}, fills: map[string]*fill{}, idleSources: map[string][]*sourceConn{},
-		scratch: make([]byte, 256<<10), stopped: make(chan struct{}), startedAt: time.Now(), startWall: wallClock()}
+	s.store, s.Recovered = opened, recovered
 	if s.loop, err = eventloop.New(8192); err != nil {
 		opened.Close()
 		return nil, err
--- a/internal/cachenode/store/doc.go
+++ b/internal/cachenode/store/doc.go
@@ -7,8 +7,9 @@
 // An object is served only after the object and its log entry were written completely, and its
 // checksum was verified since the start. A purge is synced to two logs before it is
 // acknowledged. Purges and fills are ordered by purge numbers and by the version that the origin
-// states, never by a clock. The source of an object is the server from which it is fetched: the
-// origin, a parent or another cache.
+// states, never by the wall clock. The source of an object is the server from which it is fetched:
+// the origin, a parent or another cache. A source may send a copy from before a purge that it has
+// not received yet; such a copy is recognized by its age (purgetimes.go).
 //
 // The package owns the folder with the segments, the index log and the purge log. It does not
 // decide what is fetched and from where, knows nothing about HTTP, and accesses the disk only
--- a/internal/cachenode/store/location.go
+++ b/internal/cachenode/store/location.go
@@ -9,7 +9,7 @@
 type location struct {
 	keyHash    uint64
 	objectHash uint64 // of Meta.Object
-	sincePurge uint64 // number of the last purge when its fill began
+	sincePurge uint64 // number of the last purge when its fill began, or when it was generated if a purge was received in between
 	segment    uint32 // number of the segment
 	offset8    uint32 // offset in the segment, in units of 8 bytes
 	packed     uint64 // body length (40 bits), head length (16), rank (2), flags
--- a/internal/cachenode/store/object.go
+++ b/internal/cachenode/store/object.go
@@ -25,7 +25,7 @@
 	store      *Store
 	segment    *segment
 	bodyOffset int64
-	sincePurge uint64 // number of the last purge when the fill of the object began; see Store.purged
+	sincePurge uint64 // as in location
 	closed     bool
 	filling    bool // returned by Writer.Reader: its body was still being written
 }
--- a/internal/cachenode/store/options.go
+++ b/internal/cachenode/store/options.go
@@ -38,6 +38,7 @@
 	MaxPurgeRules int              // limit of purges by tag and prefix without a version, which every lookup checks; default 256
 	Warn          func(string)     // receives messages for the operator; nil: they are dropped
 	Now           func() time.Time // clock for retries; nil: time.Now
+	AgeClock      func() int64     // clock of Meta.GeneratedAt, Unix ms, which never goes back; nil: generation times are not compared with purges
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/cachenode/store/purge.go
+++ b/internal/cachenode/store/purge.go
@@ -46,8 +46,9 @@
 const maxPurgeText = 4096
 
 // Purge is an invalidation of objects. A purge without a Version covers the selected objects whose
-// fill began before it. A purge with a Version covers the selected objects of earlier versions,
-// whenever they were fetched; objects without a version it covers if their fill began before it.
+// fill began before it, or that were generated before it if Options.AgeClock is set. A purge with a
+// Version covers the selected objects of earlier versions, whenever they were fetched; objects
+// without a version it covers like a purge without one.
 type Purge struct {
 	Number  uint64 // assigned by the store, in the order of the purges
 	Scope   Scope
--- a/internal/cachenode/store/purgelog.go
+++ b/internal/cachenode/store/purgelog.go
@@ -18,13 +18,13 @@
 }
 
 // TryPurged reports whether a purge covers the object of a fill that began when LastPurge returned
-// since. known is false if that can't be determined without waiting.
+// since, by its generation time too. known is false if that can't be determined without waiting.
 func (s *Store) TryPurged(since uint64, meta *Meta) (purged, known bool) {
 	if !s.mu.TryLock() {
 		return false, false
 	}
 	defer s.mu.Unlock()
-	return s.logsUnread || s.purged(since, meta), true
+	return s.logsUnread || s.purged(s.sinceGenerated(since, meta), meta), true
 }
 
 // Purge invalidates objects and returns the number of the purge. When it returns without an error,
@@ -50,6 +50,7 @@
 			return 0, err
 		}
 	}
+	s.recordPurgeTime(s.lastPurge)
 	s.lastPurge++
 	s.announcedPurge.Store(s.lastPurge)
 	purge.Number = s.lastPurge
@@ -73,6 +74,7 @@
 // deferPurge keeps a purge until the logs are read. It increments what LastPurge returns, so that
 // fills notice the purge; its final number is higher.
 func (s *Store) deferPurge(purge Purge) {
+	s.recordPurgeTime(s.announcedPurge.Load())
 	s.announcedPurge.Add(1)
 	if len(s.pendingPurges) >= maxPendingPurges {
 		s.pendingOverflowed = true
--- a/internal/cachenode/store/store.go
+++ b/internal/cachenode/store/store.go
@@ -51,7 +51,8 @@
 	unversionedRules int     // number of purgeRules without a version
 	retirePostponed  int     // number of unversioned rules above which retireUnversionedRules is tried again; 0: not postponed
 	fillBarrier      uint64  // objects of fills that began before this purge are not committed
-	purgesCaughtUp   bool    // MarkPurgesCaughtUp was called
+	purgeTimes       purgeTimes
+	purgesCaughtUp   bool // MarkPurgesCaughtUp was called
 
 	// Faults of the disk (fault.go).
 	failure           *FaultError // no object is stored until a retry succeeds; nil: the disk works
@@ -106,6 +107,7 @@
 func Open(fs FS, options Options) (*Store, Recovered, error) {
 	store := &Store{fs: fs, options: options.withDefaults(), logsUnread: true, logsBroken: true}
 	store.reset()
+	store.recordPurgeTime(0) // the times of the purges in the logs are not known: all were made before now
 	err := store.retryNow()
 	if errors.Is(err, ErrFormat) || store.lock == nil && !transient(err) {
 		store.closeFiles()
--- a/internal/cachenode/store/writer.go
+++ b/internal/cachenode/store/writer.go
@@ -15,7 +15,8 @@
 	segment  *segment
 	meta     Meta
 	location location
-	size     int64 // announced length of the body
+	begunAt  uint64 // number of the last purge when the fill began
+	size     int64  // announced length of the body
 	written  int64
 	crc      uint32 // checksum of the bytes written so far
 	done     bool
@@ -30,7 +31,9 @@
 	return s.BeginSince(s.LastPurge(), meta, size)
 }
 
-// BeginSince is like Begin, for a fill that began earlier, when LastPurge returned since.
+// BeginSince is like Begin, for a fill that began earlier, when LastPurge returned since. A purge
+// that was received after the source had generated the object covers it, too, even if the fill
+// began later: the source had not received the purge yet.
 func (s *Store) BeginSince(since uint64, meta Meta, size int64) (*Writer, error) {
 	head, err := encodeHead(&meta)
 	if err != nil {
@@ -38,11 +41,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writer, err := s.reserve(meta, len(head), size, since)
+	writer, err := s.reserve(meta, len(head), size, s.sinceGenerated(since, &meta))
 	if err != nil {
 		s.Stats.Refused++
 		return nil, err
 	}
+	writer.begunAt = since
 	if err := writeAt(writer.segment.file, head, writer.location.offset()); err != nil {
 		writer.release()
 		s.Stats.Refused++
@@ -83,7 +87,7 @@
 	seg.size += need
 	seg.refs++
 	s.usedBytes += need
-	return &Writer{store: s, segment: seg, meta: meta, location: loc, size: size}, nil
+	return &Writer{store: s, segment: seg, meta: meta, location: loc, begunAt: since, size: size}, nil
 }
 
 // Write writes the next bytes of the body. It returns an error if the body exceeds its announced
@@ -178,7 +182,7 @@
 // version.
 func (w *Writer) superseded() bool {
 	store := w.store
-	if w.location.sincePurge < store.fillBarrier || store.purged(w.location.sincePurge, &w.meta) {
+	if w.begunAt < store.fillBarrier || store.purged(w.location.sincePurge, &w.meta) {
 		return true
 	}
 	slot, ok := store.byHash[w.location.keyHash]
