Cache: the age of a copy counts from the request to its source

Cause: the generation time of a filled copy was its receipt less the stated age, so a copy whose answer was delayed across a purge seemed younger than the purge. It is now the begin of the fill less the stated age (RFC 9111, 4.2.3), in one place with the 304, and Age counts where Spool-Copy is missing.

--- a/internal/cachenode/server/fill.go
+++ b/internal/cachenode/server/fill.go
@@ -181,8 +181,8 @@
 	}
 	f.size = head.ContentLength
 	attempt := &f.initiator.attempt
-	version, _ := fetchheader.ParseCopyVersion(string(head.Get("spool-copy")))
-	f.meta = store.Meta{Key: f.key, Object: attempt.Object, Group: int32(attempt.Group), Version: version.Number, GeneratedAt: s.now() - int64(version.Age), Rank: attempt.Keep, Fields: map[string]string{}}
+	version, generatedAt := f.sourceVersion(head, 0)
+	f.meta = store.Meta{Key: f.key, Object: attempt.Object, Group: int32(attempt.Group), Version: version, GeneratedAt: generatedAt, Rank: attempt.Keep, Fields: map[string]string{}}
 	for i := range head.Fields {
 		name := strings.ToLower(string(head.Fields[i].Name))
 		switch name {
@@ -248,19 +248,28 @@
 	return joined
 }
 
+// sourceVersion returns the version of the object that a response states, and the earliest time at
+// which the object may have been generated. The time that the response took counts as age (RFC
+// 9111, 4.2.3): the source may have generated the object as soon as it received the request. The age
+// is that of Spool-Copy, unless its version is below minVersion, or else that of Age.
+func (f *fill) sourceVersion(head *http1.Head, minVersion int64) (version, generatedAt int64) {
+	field := head.Get("spool-copy")
+	stated, err := fetchheader.ParseCopyVersion(string(field))
+	if field == nil || err != nil || stated.Number < minVersion {
+		stated.Age = 0
+		if seconds, err := strconv.ParseInt(string(head.Get("age")), 10, 31); err == nil {
+			stated.Age = float64(seconds) * 1000
+		}
+	}
+	return stated.Number, f.startedAt - max(int64(stated.Age), 0)
+}
+
 // revalidated handles a 304: the stale object of the initiator is still valid. It ends the fill,
 // updates the generation time of the object, and lets all waiters look it up again.
 func (f *fill) revalidated(head *http1.Head) {
 	s, stale := f.server, f.initiator.stale
 	f.initiator.stale = nil
-	version, err := fetchheader.ParseCopyVersion(string(head.Get("spool-copy")))
-	if err != nil || stale.Version != 0 && version.Number < stale.Version {
-		version.Age = 0
-		if n, err := strconv.ParseInt(string(head.Get("age")), 10, 31); err == nil {
-			version.Age = float64(n) * 1000
-		}
-	}
-	generatedAt := f.startedAt - int64(version.Age) // the time that the response took counts as age
+	_, generatedAt := f.sourceVersion(head, stale.Version)
 	waiters := make([]*request, 0, len(f.waiters))
 	for req := range f.waiters {
 		waiters = append(waiters, req)
