--- a/internal/eventloop/ready.go
+++ b/internal/eventloop/ready.go
@@ -10,6 +10,7 @@
 const (
 	Read  Interest = unix.EPOLLIN | unix.EPOLLRDHUP // data, or the peer's half-close
 	Write Interest = unix.EPOLLOUT                  // space to write, or a finished connect
+	End   Interest = unix.EPOLLRDHUP                // the peer's half-close, without data before it
 )
 
 // Ready is the set of events that epoll reported for a descriptor.
--- a/internal/proxy/platform/client.go
+++ b/internal/proxy/platform/client.go
@@ -18,6 +18,8 @@
 	open         map[int32]*request // started requests without a final answer, by sequence number
 	pending      []pendingCall      // calls that were read but not started
 	lastSequence int32              // sequence number of the last call of serve
+	localAnswers int                // answers without a request that were queued since the output was last empty
+	inputHeld    bool               // input may have complete messages that wait until the client has read answers
 	activity     limits.ClientActivity
 	closed       bool
 
@@ -27,7 +29,7 @@
 
 	largeRead     bool            // so much data arrived at once that the kernel may have held back more
 	moreDataUntil float64         // after a large read, the time until which more data is expected
-	pendingTimer  eventloop.Timer // starts the pending calls
+	pendingTimer  eventloop.Timer // resumes the input and starts the pending calls
 }
 
 // pendingCall is a call of serve that waits until the data that follows it has been read.
@@ -58,8 +60,11 @@
 // openCalls returns the number of calls, and so of requests, without a final answer.
 func (c *client) openCalls() int { return len(c.open) + len(c.pending) }
 
-// answerPending reports whether an answer to the client, or a part of one, is still to be written.
-func (c *client) answerPending() bool { return c.openCalls() > 0 || c.output.Len() > 0 }
+// answerPending reports whether an answer to the client, or a part of one, is still to be written,
+// or may be once its input is handled.
+func (c *client) answerPending() bool {
+	return c.openCalls() > 0 || c.output.Len() > 0 || c.inputHeld
+}
 
 // abandon tells the router that the client has given up a request.
 func (c *client) abandon(req *request) {
--- a/internal/proxy/platform/client_input.go
+++ b/internal/proxy/platform/client_input.go
@@ -16,6 +16,10 @@
 	moreDataDelay  = 5.0       // ms within which data that was held back arrives
 	maxPendingTime = 100.0     // ms that a call waits for the data that follows it
 	longTurnTime   = 30.0      // ms into a turn, after which clients are read again before an attempt is written
+
+	// maxLocalAnswers is the number of answers without a request for which a client's input is held
+	// back until the client has read them.
+	maxLocalAnswers = 64
 )
 
 // inLongTurn reports whether the current turn of the loop began so long ago that clients may
@@ -27,6 +31,9 @@
 // started if it is followed by its cancellation, however many calls are in between, and a
 // malformed message drops the calls that arrived with it.
 func (c *client) receive() {
+	if c.inputHeld && !c.parseHeld() {
+		return
+	}
 	server := c.server
 	arrivedAfter := c.unreadSince
 	if arrivedAfter == 0 {
@@ -50,6 +57,10 @@
 		if c.closed {
 			return
 		}
+		if c.inputHeld {
+			c.unreadSince = arrivedAfter
+			return
+		}
 		left -= size
 		if size < len(server.readBuffer) && !server.inLongTurn() { // in a long turn, read on to see an end of the stream
 			c.noteAllRead(startedAt, maxReadPerTurn-left)
@@ -89,6 +100,30 @@
 	}
 }
 
+// resumeInput handles input that was held back, and starts the pending calls.
+func (c *client) resumeInput() {
+	if c.inputHeld {
+		c.receive()
+	}
+	c.startPending()
+}
+
+// holdsBack reports whether the client has so many answers to read that no more of its messages are
+// handled. Otherwise a client that sends health checks at full speed would take the whole time of the
+// loop, and one that reads no answers would take memory without end.
+func (c *client) holdsBack() bool { return c.localAnswers >= maxLocalAnswers }
+
+// parseHeld handles the messages that were held back. It reports whether the client's connection
+// can be read again.
+func (c *client) parseHeld() bool {
+	if c.holdsBack() {
+		return false
+	}
+	c.inputHeld = false
+	c.parse(nil, c.unreadSince)
+	return !c.closed && !c.inputHeld
+}
+
 // parse handles the complete messages in the buffered input and data, and keeps the rest in
 // input.
 func (c *client) parse(data []byte, arrivedAfter float64) {
@@ -123,7 +158,7 @@
 	if used > 0 {
 		c.activity.LastUsed = server.loop.Now()
 	}
-	if rest == 0 {
+	if rest == 0 || c.inputHeld {
 		c.activity.LastPartial = 0
 		return
 	}
@@ -136,13 +171,18 @@
 	}
 }
 
-// handleMessages handles all complete frames in data and returns their size.
+// handleMessages handles all complete frames in data and returns their size. It stops early and
+// sets inputHeld if the client has to read answers first.
 func (c *client) handleMessages(data []byte, arrivedAfter float64) (used int, err error) {
 	for !c.closed {
 		payload, size, err := thriftrpc.SplitFrame(data[used:])
 		if err != nil || size == 0 {
 			return used, err
 		}
+		if c.holdsBack() {
+			c.inputHeld = true
+			return used, nil
+		}
 		call, err := c.server.codec.Parse(payload)
 		if err != nil {
 			return used, err
@@ -173,10 +213,10 @@
 	case thriftrpc.MethodForget:
 		c.cancelCall(call.CancelledSeq)
 	case thriftrpc.MethodIsWell:
-		c.queue(server.codec.Health(call.Seq, server.drainStarted == 0))
+		c.queueLocal(server.codec.Health(call.Seq, server.drainStarted == 0))
 	default:
 		server.counts.Invalid++
-		c.queue(server.codec.UnknownMethod(call.Name, call.Seq))
+		c.queueLocal(server.codec.UnknownMethod(call.Name, call.Seq))
 	}
 	return nil
 }
--- a/internal/proxy/platform/client_output.go
+++ b/internal/proxy/platform/client_output.go
@@ -12,6 +12,13 @@
 	c.flush()
 }
 
+// queueLocal queues an answer that does not belong to an open request. Such answers cost the client
+// nothing, so their number is limited, see holdsBack.
+func (c *client) queueLocal(frame []byte) {
+	c.localAnswers++
+	c.queue(frame)
+}
+
 // queue adds a frame to the output. The next flush writes it.
 func (c *client) queue(frame []byte) {
 	if c.closed {
@@ -49,15 +56,32 @@
 	}
 	if c.output.Len() == 0 {
 		c.activity.StalledSince = 0
-		server.loop.Want(c.fd, eventloop.Read)
+		c.localAnswers = 0
+		if c.inputHeld {
+			server.loop.Arm(&c.pendingTimer, 0)
+		}
+		server.loop.Want(c.fd, c.interest())
 		return
 	}
 	if server.unsentBytes > server.maxBufferedBytes() {
 		server.closeLargestBuffer()
 	}
 	if !c.closed {
-		server.loop.Want(c.fd, eventloop.Read|eventloop.Write)
+		server.loop.Want(c.fd, c.interest())
+	}
+}
+
+// interest returns the events that the client's connection waits for. It is not read while input
+// is held, except to learn of its end.
+func (c *client) interest() eventloop.Interest {
+	want := eventloop.Read
+	if c.inputHeld {
+		want = eventloop.End
+	}
+	if c.output.Len() > 0 {
+		want |= eventloop.Write
 	}
+	return want
 }
 
 // bufferedBytes returns the size of the client's unsent answers and incomplete message.
--- a/internal/proxy/platform/harness_test.go
+++ b/internal/proxy/platform/harness_test.go
@@ -30,6 +30,7 @@
 	members              map[string]*testserver.PlatformCache
 	discovery            *testserver.PlatformFeed
 	settings             string
+	memoryMB, sockets    int                         // limits in the configuration
 	lastResumed          atomic.Uint64               // event number with which the last discovery connection began
 	discoveryConnections atomic.Int64                // connections to the discovery server so far
 	discoveryWrites      atomic.Pointer[chan []byte] // data for the last discovery connection to write; nil closes it
@@ -56,7 +57,7 @@
 // prepareHarness starts the fake servers and writes a configuration with their addresses.
 func prepareHarness(t *testing.T, handlers map[string]handler) *testHarness {
 	t.Helper()
-	harness := &testHarness{t: t, settings: testSettings, members: map[string]*testserver.PlatformCache{}, serveErr: make(chan error, 1)}
+	harness := &testHarness{t: t, settings: testSettings, memoryMB: 64, sockets: 256, members: map[string]*testserver.PlatformCache{}, serveErr: make(chan error, 1)}
 	for _, id := range []string{"s-000000c1", "s-000000c2", "s-000000a1"} {
 		handler := handlers[id]
 		if handler == nil {
@@ -146,7 +147,7 @@
 		rows = append(rows, r)
 	}
 	c := map[string]any{"name": "n1", "listen": "127.0.0.1:0", "seed": "1f", "feed": feed, "settings": json.RawMessage(h.settings),
-		"limits": row{"cores": 1, "memory_mb": 64, "sockets": 256},
+		"limits": row{"cores": 1, "memory_mb": h.memoryMB, "sockets": h.sockets},
 		"known":  row{"n": 1, "events": []row{{"n": 1, "members": row{"index": 1, "snapshot": true, "endpoints": rows}}}}}
 	b, err := json.Marshal(c)
 	if err == nil {
--- a/internal/proxy/platform/listener.go
+++ b/internal/proxy/platform/listener.go
@@ -39,7 +39,7 @@
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	client := &client{server: server, fd: fd, open: map[int32]*request{}, activity: limits.ClientActivity{AcceptedAt: server.loop.Now()}}
-	client.pendingTimer.F = client.startPending
+	client.pendingTimer.F = client.resumeInput
 	client.allReadAt = eventloop.Clock()
 	if !eventloop.Idle(fd) { // its data may have arrived while it waited in the backlog
 		client.unreadSince = ln.EarliestArrival()
@@ -68,7 +68,7 @@
 func (s *Server) closeIdleClient() bool {
 	var first *client
 	for candidate := range s.clients {
-		if candidate.output.Len() > 0 {
+		if candidate.output.Len() > 0 || candidate.inputHeld {
 			continue // an answer is being written
 		}
 		candidate.activity.OpenRequests = candidate.openCalls()
