Platform router: a limit for the bodies of open calls, and small buffers for partial ones

Cause: bodies of open calls were not counted, and incomplete messages were kept with all that was read behind them. Bodies now have 0.15 of the memory, calls over that are refused and counted, and a partial message takes no more from a read than its own bytes.

--- a/internal/protocol/thriftrpc/codec.go
+++ b/internal/protocol/thriftrpc/codec.go
@@ -38,13 +38,13 @@
 	Name         string // name of the method, as sent
 	Seq          int32
 	Fields       map[string]string // for MethodServe
-	Body         []byte            // for MethodServe
+	Body         []byte            // for MethodServe; part of the payload
 	CancelledSeq int32             // for MethodForget: sequence number of the cancelled call
 }
 
 // Codec parses calls and encodes answers. It is not safe for concurrent use. An encoded answer
-// is valid until the next call of a method. A Call shares no memory with the payload or the
-// Codec.
+// is valid until the next call of a method. A Call shares no memory with the Codec, and only its
+// Body with the payload.
 type Codec struct {
 	input, output thrift.TMemoryBuffer
 	reader        *thrift.TBinaryProtocol // reads from input
@@ -121,7 +121,7 @@
 		case call.Method == MethodServe && id == 1 && fieldType == thrift.MAP:
 			call.Fields, err = c.parseFields()
 		case call.Method == MethodServe && id == 2 && fieldType == thrift.STRING:
-			call.Body, err = c.reader.ReadBinary(ctx)
+			call.Body, err = c.parseBody()
 		case call.Method == MethodForget && id == 1 && fieldType == thrift.I32:
 			call.CancelledSeq, err = c.reader.ReadI32(ctx)
 			hasSequence = true
@@ -138,6 +138,19 @@
 	return nil
 }
 
+// parseBody returns the bytes of a binary value, which are part of the payload: ReadBinary would
+// allocate several times their size.
+func (c *Codec) parseBody() ([]byte, error) {
+	size, err := c.reader.ReadI32(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if size < 0 || int(size) > c.input.Len() {
+		return nil, fmt.Errorf("body of %d bytes in a message with %d more", size, c.input.Len())
+	}
+	return c.input.Next(int(size)), nil
+}
+
 // parseFields reads a map of strings.
 func (c *Codec) parseFields() (map[string]string, error) {
 	keyType, valueType, size, err := c.reader.ReadMapBegin(ctx)
--- a/internal/protocol/thriftrpc/frame.go
+++ b/internal/protocol/thriftrpc/frame.go
@@ -25,6 +25,20 @@
 	ErrTooManyOpen = fmt.Errorf("thriftrpc: more than %d calls open on a connection", MaxOpenCalls)
 )
 
+// MissingBytes returns how many bytes are missing until the first frame in data is complete, as far
+// as that is known: without the whole length prefix, only the rest of the prefix counts. It is 0 if
+// the frame is complete or its length invalid.
+func MissingBytes(data []byte) int {
+	if len(data) < lengthBytes {
+		return lengthBytes - len(data)
+	}
+	length := int32(binary.BigEndian.Uint32(data))
+	if length <= 0 || length > MaxFrameBytes {
+		return 0
+	}
+	return max(lengthBytes+int(length)-len(data), 0)
+}
+
 // SplitFrame finds the first complete frame in data. It returns the payload and the size of the
 // frame including its length prefix; a size of 0 means that more bytes are needed. It checks
 // the length before the payload has arrived, so that callers do not buffer frames that are too
--- a/internal/proxy/limits/quota.go
+++ b/internal/proxy/limits/quota.go
@@ -9,6 +9,8 @@
 	defaultMemberIdle   = 30000   // ms, if that time is unknown
 	waitingShare        = 0.3     // of the memory, for waiting bytes
 	minWaitingBytes     = 4 << 20 // however small the memory is
+	bodyShare           = 0.15    // of the memory, for the bodies of requests in flight
+	minBodyBytes        = 2 << 20 // however small the memory is
 )
 
 // ConnectionQuota divides the file descriptors of a router between its clients and members.
@@ -35,6 +37,10 @@
 // process with the given memory in bytes.
 func WaitingBytes(memory int) int { return max(int(float64(memory)*waitingShare), minWaitingBytes) }
 
+// BodyBytes returns how many bytes the bodies of all requests in flight may have together, in a
+// process with the given memory in bytes.
+func BodyBytes(memory int) int { return max(int(float64(memory)*bodyShare), minBodyBytes) }
+
 // MemberIdleExpired reports whether a connection to a member that has been unused for idle ms is
 // to be closed. The member itself closes it after memberIdle ms; 0 means that this time is
 // unknown. The router closes it earlier, so that it sends no request on a connection that the
--- a/internal/proxy/platform/client.go
+++ b/internal/proxy/platform/client.go
@@ -37,6 +37,7 @@
 	thriftrpc.Call
 	arrivedAfter float64 // the earliest time at which its last byte may have arrived
 	readAt       float64
+	overMemory   bool // there was no memory for the body, which was dropped
 }
 
 // OnReady implements eventloop.Handler.
@@ -92,6 +93,9 @@
 	c.closed = true
 	server.counts.Closed++
 	server.counts.Abandoned += uint64(len(c.pending))
+	for i := range c.pending {
+		server.releaseBody(len(c.pending[i].Body))
+	}
 	c.pending = nil
 	server.loop.Forget(&c.pendingTimer)
 	server.loop.Remove(c.fd)
--- a/internal/proxy/platform/client_input.go
+++ b/internal/proxy/platform/client_input.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"slices"
 
 	"go.uber.org/zap"
@@ -20,6 +21,10 @@
 	// maxLocalAnswers is the number of answers without a request for which a client's input is held
 	// back until the client has read them.
 	maxLocalAnswers = 64
+
+	// memoryRetryAfter is the time in ms after which a client may retry a call that was rejected for
+	// lack of memory, unless the settings allow less.
+	memoryRetryAfter = 300.0
 )
 
 // inLongTurn reports whether the current turn of the loop began so long ago that clients may
@@ -128,12 +133,13 @@
 // input.
 func (c *client) parse(data []byte, arrivedAfter float64) {
 	server := c.server
-	buffered := c.input.Len() > 0
-	if buffered {
-		c.input.Add(&server.buffers, data)
-		data = c.input.Bytes()
+	used, data, err := c.handleBuffered(data, arrivedAfter)
+	if err == nil && !c.closed && c.input.Len() == 0 {
+		var direct int
+		direct, err = c.handleMessages(data, arrivedAfter)
+		used += direct
+		data = data[direct:]
 	}
-	used, err := c.handleMessages(data, arrivedAfter)
 	if err != nil {
 		server.counts.Invalid++
 		server.log.Debug("malformed message, connection closed", zap.Error(err))
@@ -142,13 +148,32 @@
 	if c.closed {
 		return
 	}
-	rest := len(data) - used
-	if buffered {
-		c.input.Take(&server.buffers, used)
-	} else if rest > 0 {
-		c.input.Add(&server.buffers, data[used:])
+	if len(data) > 0 {
+		c.input.Add(&server.buffers, data)
+	}
+	c.updateActivity(used, c.input.Len())
+}
+
+// handleBuffered handles the complete messages in input. It completes the last one with bytes from
+// data, and returns the size of the messages and the rest of data. It takes no more from data, so
+// that input never needs a buffer that is much larger than a message.
+func (c *client) handleBuffered(data []byte, arrivedAfter float64) (used int, rest []byte, err error) {
+	server := c.server
+	for c.input.Len() > 0 {
+		missing := min(thriftrpc.MissingBytes(c.input.Bytes()), len(data))
+		c.input.Add(&server.buffers, data[:missing])
+		data = data[missing:]
+		size, err := c.handleMessages(c.input.Bytes(), arrivedAfter)
+		used += size
+		if err != nil || c.closed {
+			return used, data, err
+		}
+		c.input.Take(&server.buffers, size)
+		if size == 0 && (missing == 0 || len(data) == 0) { // incomplete, or held back
+			break
+		}
 	}
-	c.updateActivity(used, rest)
+	return used, data, nil
 }
 
 // updateActivity updates the times by which connections expire, after a read that completed
@@ -209,7 +234,13 @@
 		if c.openCalls() >= thriftrpc.MaxOpenCalls {
 			return thriftrpc.ErrTooManyOpen
 		}
-		c.pending = append(c.pending, pendingCall{*call, arrivedAfter, eventloop.Clock()})
+		pending := pendingCall{Call: *call, arrivedAfter: arrivedAfter, readAt: eventloop.Clock()}
+		if server.reserveBody(len(call.Body)) {
+			pending.Body = bytes.Clone(call.Body)
+		} else {
+			pending.Body, pending.overMemory = nil, true
+		}
+		c.pending = append(c.pending, pending)
 	case thriftrpc.MethodForget:
 		c.cancelCall(call.CancelledSeq)
 	case thriftrpc.MethodIsWell:
@@ -230,6 +261,7 @@
 	}
 	index := slices.IndexFunc(c.pending, func(call pendingCall) bool { return call.Seq == seq })
 	if index >= 0 {
+		c.server.releaseBody(len(c.pending[index].Body))
 		c.pending = slices.Delete(c.pending, index, index+1)
 		c.server.counts.Abandoned++
 	}
@@ -263,7 +295,8 @@
 	return c.unreadSince > 0 || c.largeRead && (c.moreDataUntil > now || c.input.Len() > 0)
 }
 
-// startCall starts a request, or answers Broken if its fields are invalid.
+// startCall starts a request, or answers Broken if its fields are invalid, or Throttled if there was
+// no memory for its body.
 func (c *client) startCall(call *pendingCall) {
 	server := c.server
 	request, err := thriftrpc.ParseRequest(&call.Call, server.class)
@@ -273,8 +306,14 @@
 	if err != nil {
 		server.counts.Invalid++
 		server.log.Debug("invalid request", zap.Error(err))
+		server.releaseBody(len(call.Body))
 		c.queue(server.codec.Failed(call.Seq))
 		return
 	}
+	if call.overMemory {
+		server.counts.OverMemory++
+		c.queueLocal(server.codec.Rejected(call.Seq, min(memoryRetryAfter, server.config.settings.Module.MaxRetryAfter)))
+		return
+	}
 	server.startRequest(c, call.Seq, request, call.arrivedAfter)
 }
--- a/internal/proxy/platform/client_output.go
+++ b/internal/proxy/platform/client_output.go
@@ -84,14 +84,17 @@
 	return want
 }
 
-// bufferedBytes returns the size of the client's unsent answers and incomplete message.
-func (c *client) bufferedBytes() int { return c.input.Len() + c.output.Len() }
+// bufferedBytes returns the memory that the client's unsent answers and incomplete message take.
+func (c *client) bufferedBytes() int { return c.input.Cap() + c.output.Cap() }
 
 // maxBufferedBytes returns the limit of the bytes buffered for all clients together.
 func (s *Server) maxBufferedBytes() int {
-	return limits.WaitingBytes(int(s.config.Limits.MemoryMB * (1 << 20)))
+	return limits.WaitingBytes(s.memoryBytes())
 }
 
+// memoryBytes returns the memory limit of the process.
+func (s *Server) memoryBytes() int { return int(s.config.Limits.MemoryMB * (1 << 20)) }
+
 // closeLargestBuffer closes the client with the most buffered bytes if the sum for all clients
 // is over the limit.
 func (s *Server) closeLargestBuffer() {
--- a/internal/proxy/platform/counts.go
+++ b/internal/proxy/platform/counts.go
@@ -13,6 +13,7 @@
 	Served      uint64 // requests answered with an object or as not modified
 	NotModified uint64 // of these, the requests answered as not modified
 	Rejected    uint64 // requests answered with Throttled
+	OverMemory  uint64 // calls answered with Throttled because there was no memory for their body
 	Failed      uint64 // requests answered with Broken by the router's decision
 	Abandoned   uint64 // requests given up by the client, by calling forget or by closing
 
@@ -63,6 +64,7 @@
 		zap.Uint64("served", counts.Served),
 		zap.Uint64("same", counts.NotModified),
 		zap.Uint64("refused", counts.Rejected),
+		zap.Uint64("no_memory", counts.OverMemory),
 		zap.Uint64("failed", counts.Failed),
 		zap.Uint64("gone", counts.Abandoned),
 		zap.Uint64("attempts", counts.Attempts),
@@ -82,6 +84,7 @@
 		zap.Int("pools", len(s.pools)),
 		zap.Int("lent_kb", s.buffers.Used>>10),
 		zap.Int("waiting_kb", s.unsentBytes>>10),
+		zap.Int("bodies_kb", s.bodyBytes>>10),
 		zap.Float64("lag_ms", s.loop.Lag()),
 		zap.Any("link", link),
 		zap.Any("members", logged))
--- a/internal/proxy/platform/request.go
+++ b/internal/proxy/platform/request.go
@@ -6,6 +6,7 @@
 	spool "indigospool"
 	"indigospool/internal/eventloop"
 	"indigospool/internal/protocol/thriftrpc"
+	"indigospool/internal/proxy/limits"
 )
 
 // request is a client's request in flight. Times are on the loop's clock, in ms.
@@ -74,5 +75,19 @@
 	s.loop.Forget(&req.timer)
 	if s.requests[req.ID] == req {
 		delete(s.requests, req.ID)
+		s.releaseBody(len(req.Body))
 	}
 }
+
+// reserveBody reserves memory for the body of a call. It returns false if the bodies of all calls
+// would exceed their limit.
+func (s *Server) reserveBody(size int) bool {
+	if size > 0 && s.bodyBytes+size > limits.BodyBytes(s.memoryBytes()) {
+		return false
+	}
+	s.bodyBytes += size
+	return true
+}
+
+// releaseBody releases the memory for the body of a call that has ended.
+func (s *Server) releaseBody(size int) { s.bodyBytes -= size }
--- a/internal/proxy/platform/server.go
+++ b/internal/proxy/platform/server.go
@@ -42,6 +42,7 @@
 	buffers           eventloop.Buffers
 	readBuffer        []byte // reused by every read; no reference to it may be kept
 	unsentBytes       int    // bytes in the output queues of all clients
+	bodyBytes         int    // bytes in the bodies of pending and open calls
 
 	stream       discoveryStream
 	platformTime unixclock.Clock // the platform's time, estimated from timestamps in discovery events
