HTTP router: unread responses hold back reading, and a client has a share of a turn

The limit of what is read ahead now holds then, too, and a client starts at most 64 requests in a turn.

--- a/internal/proxy/httpfront/client.go
+++ b/internal/proxy/httpfront/client.go
@@ -46,6 +46,10 @@
 	discardInput       bool // further input is dropped, and the connection is about to close
 	receiving          bool // a request has begun to arrive; cleared after its response
 	readPaused         bool // reading is stopped: too much pipelined input, or a pause after a rejection
+	inputHeld          bool // unparsed waits for the next turn of the loop, see guard.holdInput
+
+	startedInTurn int    // number of requests started in the turn lastTurn
+	lastTurn      uint64 // turn of the loop in which the last request was started
 }
 
 // readBytes is the most that is read from a client at once. The settings bound what is kept.
@@ -55,6 +59,11 @@
 	retryAfter      = 1000     // ms, before jitter, that a rejected client is told to wait
 	maxFreeRequests = 1024     // finished requests that are kept for reuse
 	maxReusedBody   = 64 << 10 // bytes; a request with a larger body buffer is not reused
+
+	// maxStartedPerTurn is the number of requests of one client that are started in a turn of the
+	// loop. A pipelined request is started when the one before it is answered, so only clients whose
+	// requests the router answers by itself reach it.
+	maxStartedPerTurn = 64
 )
 
 // OnReady writes pending output and reads input. Large output waits for its turn in the
@@ -117,24 +126,38 @@
 		c.flow.Moved(c.edge.guard.peerTime(), n, rate)
 	}
 	data := buf[:n]
-	if len(c.unparsed) > 0 || c.current != nil && c.current.phase != receivingBody {
+	switch {
+	case c.mustWait():
 		c.unparsed = append(c.unparsed, data...)
-		if c.current == nil || c.current.phase == receivingBody {
-			c.parseUnparsed()
-			return
-		}
-		if len(c.unparsed) >= c.edge.settings.Limits.ReadAheadBytes {
-			c.readPaused = true
-			c.updateInterest()
+	case len(c.unparsed) > 0:
+		c.unparsed = append(c.unparsed, data...)
+		c.parseUnparsed()
+	default:
+		if rest := c.parse(data); !c.closed && len(rest) > 0 {
+			c.unparsed = append(c.unparsed[:0], rest...)
 		}
-		return
 	}
-	rest := c.parse(data)
-	if !c.closed && len(rest) > 0 {
-		c.unparsed = append(c.unparsed[:0], rest...)
+	if !c.closed && !c.readPaused && c.readAheadFull() {
+		c.readPaused = true
+		c.updateInterest()
 	}
 }
 
+// mustWait reports whether the next request can't be parsed now: the previous one is in flight, its
+// response is not written yet, or the client has had its share of this turn of the loop.
+func (c *clientConn) mustWait() bool {
+	if c.current != nil {
+		return c.current.phase != receivingBody
+	}
+	return c.inputHeld || c.output.Len() > 0
+}
+
+// readAheadFull reports whether no more input may be read until the next request is parsed. A head or
+// a body that is arriving has limits of its own.
+func (c *clientConn) readAheadFull() bool {
+	return c.mustWait() && len(c.unparsed) >= c.edge.settings.Limits.ReadAheadBytes
+}
+
 // parseUnparsed parses input that was read earlier.
 func (c *clientConn) parseUnparsed() {
 	if len(c.unparsed) == 0 {
@@ -149,8 +172,7 @@
 	if len(rest) > 0 {
 		c.unparsed = append(data[:0], rest...)
 	}
-	// The limit is for pipelined input: a head or a body that is arriving has limits of its own.
-	if c.readPaused && (c.current == nil || c.current.phase == receivingBody || len(c.unparsed) < c.edge.settings.Limits.ReadAheadBytes) {
+	if c.readPaused && !c.readAheadFull() {
 		c.readPaused = false
 		c.updateInterest()
 	}
@@ -178,8 +200,15 @@
 			c.discardInput = true // the client was told that the connection closes
 			return nil
 		}
-		if c.output.Len() > 0 {
-			return buf // the previous response to a slow client is written first
+		if c.mustWait() {
+			return buf
+		}
+		if turn := c.edge.loop.Turns(); turn != c.lastTurn {
+			c.startedInTurn, c.lastTurn = 0, turn
+		}
+		if c.startedInTurn >= maxStartedPerTurn {
+			c.edge.guard.holdInput(c)
+			return buf
 		}
 		if !c.receiving {
 			c.receiving = true
@@ -197,6 +226,7 @@
 		}
 		buf = buf[n:]
 		c.resetFlow()
+		c.startedInTurn++
 		c.startRequest()
 	}
 	return buf
@@ -563,7 +593,7 @@
 		} else if cap(c.unparsed) > 0 {
 			c.unparsed = nil
 		}
-		if !c.closed && c.current == nil && !c.receiving && c.output.Len() == 0 {
+		if !c.closed && c.current == nil && !c.receiving && !c.inputHeld && c.output.Len() == 0 {
 			c.edge.guard.idleClients.push(c, c.edge.loop.Now())
 			c.edge.guard.trackUnread(c)
 		}
@@ -576,7 +606,7 @@
 
 // drain closes the connection, or hands it over, as soon as no request is in flight.
 func (c *clientConn) drain() {
-	if c.current == nil && !c.receiving && c.output.Len() == 0 {
+	if c.current == nil && !c.receiving && !c.inputHeld && c.output.Len() == 0 {
 		if !c.handOver() {
 			c.close()
 		}
--- a/internal/proxy/httpfront/guard.go
+++ b/internal/proxy/httpfront/guard.go
@@ -29,6 +29,7 @@
 	reputation                               *limits.Reputation
 	readPause                                *limits.ReadPause
 	pausedClients                            []pausedClient // sorted by the time at which reading resumes
+	heldClients                              []*clientConn  // clients whose input is handled in the next turn
 	unread                                   limits.UnreadAccount
 	unreadClients                            []*clientConn // clients for which the kernel's send buffer may hold part of a finished response
 	memory                                   limits.Budget
@@ -146,6 +147,7 @@
 // in the scheduler's order, up to the limit of a turn, and sheds load when memory runs short.
 func (g *guard) afterTurn() (more bool) {
 	edge := g.edge
+	g.resumeHeld()
 	edge.updatePages()
 	if g.scheduler.Len() == 0 {
 		g.admission.ObserveWait(edge.loop.Took())
@@ -168,7 +170,32 @@
 	if g.memory.Full() {
 		g.shedForMemory()
 	}
-	return g.scheduler.Len() > 0
+	return g.scheduler.Len() > 0 || len(g.heldClients) > 0
+}
+
+// holdInput leaves the unparsed input of a client to the next turn of the loop, so that one client
+// whose requests cost the router little can't delay all others.
+func (g *guard) holdInput(client *clientConn) {
+	client.inputHeld = true
+	g.idleClients.remove(client)
+	g.heldClients = append(g.heldClients, client)
+}
+
+// resumeHeld goes on with the input that was held in the turns before.
+func (g *guard) resumeHeld() {
+	held, turn := g.heldClients, g.edge.loop.Turns()
+	g.heldClients = nil
+	for _, client := range held {
+		switch {
+		case client.closed:
+		case client.lastTurn == turn:
+			g.heldClients = append(g.heldClients, client)
+		default:
+			client.inputHeld = false
+			client.parseUnparsed()
+			client.accountInput()
+		}
+	}
 }
 
 // pausedClient is a connection whose reading is paused until the given time.
