Cache: connections, requests, control, sources and writes in files of their own

The code is moved as it was: client connections to conn.go, requests to request.go, /-/ to control.go, connections to sources to source.go, forwarded writes to forward.go.

--- /dev/null
+++ b/internal/cachenode/server/conn.go
@@ -0,0 +1,207 @@
+package server
+
+import (
+	"golang.org/x/sys/unix"
+
+	"indigospool/internal/eventloop"
+	"indigospool/internal/protocol/http1"
+)
+
+// maxPipelinedBytes limits the pipelined input that a connection buffers while it handles a
+// request. Above the limit it does not read until the request is answered.
+const maxPipelinedBytes = 64 << 10
+
+// conn is a connection from a client: a router, another cache, or a user.
+type conn struct {
+	server             *Server
+	fd                 int
+	readBuffer         []byte
+	writeBuffer        []byte
+	head               http1.Head
+	body               http1.Body
+	request            *request // the current request; nil between requests
+	closeAfterResponse bool
+	closed             bool
+	headParsed         bool // the head of the current request is parsed, its body is still being received
+	idleTimer          eventloop.Timer
+}
+
+// OnReady implements eventloop.Handler.
+func (c *conn) OnReady(r eventloop.Ready) {
+	if r.Writable() && len(c.writeBuffer) > 0 {
+		c.flush()
+	}
+	if c.closed || !r.Readable() {
+		return
+	}
+	n, err := c.server.loop.Read(c.fd, c.server.scratch)
+	switch {
+	case eventloop.Retryable(err):
+		if r.Hangup() && eventloop.NotReady(err) {
+			c.close()
+		}
+		return
+	case err != nil || n == 0:
+		c.close()
+		return
+	}
+	c.readBuffer = append(c.readBuffer, c.server.scratch[:n]...)
+	c.processInput()
+}
+
+// processInput parses the received bytes and handles the requests in them, one at a time.
+func (c *conn) processInput() {
+	for !c.closed && len(c.readBuffer) > 0 {
+		if c.request != nil && !c.headParsed {
+			if len(c.readBuffer) > maxPipelinedBytes {
+				c.server.loop.Want(c.fd, 0)
+			}
+			return
+		}
+		if !c.headParsed {
+			n, err := http1.ParseRequest(c.readBuffer, &c.head, http1.Limits{})
+			if err != nil {
+				c.closeAfterResponse = true
+				c.respond(400, err.Error())
+				return
+			}
+			if n == 0 {
+				return
+			}
+			c.request = c.server.newRequest(c)
+			if err := c.body.Start(&c.head, int64(c.server.cfg.MaxBodyBytes)); err != nil {
+				c.closeAfterResponse = true
+				c.respond(413, err.Error())
+				return
+			}
+			c.readBuffer = c.readBuffer[n:]
+			c.headParsed = true
+		}
+		for !c.body.Done() && len(c.readBuffer) > 0 {
+			n, data, err := c.body.Next(c.readBuffer)
+			if err != nil {
+				c.closeAfterResponse = true
+				c.respond(400, err.Error())
+				return
+			}
+			c.request.body = append(c.request.body, data...)
+			if c.readBuffer = c.readBuffer[n:]; n == 0 {
+				return
+			}
+		}
+		if !c.body.Done() {
+			return
+		}
+		c.headParsed = false
+		c.server.loop.Disarm(&c.idleTimer)
+		c.request.handle()
+	}
+	if !c.closed && c.headParsed && c.body.Done() {
+		c.headParsed = false
+		c.server.loop.Disarm(&c.idleTimer)
+		c.request.handle()
+	}
+	if len(c.readBuffer) == 0 {
+		c.readBuffer = nil
+	}
+}
+
+// respond answers the current request with a short text.
+func (c *conn) respond(status int, body string) {
+	head := http1.AppendStatus(nil, status)
+	head = http1.AppendFieldInt(head, "Content-Length", int64(len(body)))
+	if c.closeAfterResponse {
+		head = http1.AppendFieldString(head, "Connection", "close")
+	}
+	c.writeBuffer = append(append(append(c.writeBuffer, head...), "\r\n"...), body...)
+	c.finishRequest()
+}
+
+// finishRequest ends the current request, sends what is left of its response, and goes on with
+// the next one.
+func (c *conn) finishRequest() {
+	if req := c.request; req != nil {
+		c.request = nil
+		req.end()
+	}
+	c.flush()
+	if c.closed {
+		return
+	}
+	if c.closeAfterResponse && len(c.writeBuffer) == 0 {
+		c.close()
+		return
+	}
+	c.server.loop.Arm(&c.idleTimer, c.server.cfg.IdleTimeout)
+	c.server.loop.Want(c.fd, c.interest())
+	if len(c.readBuffer) > 0 && !c.closeAfterResponse {
+		c.processInput()
+	}
+}
+
+func (c *conn) interest() eventloop.Interest {
+	if len(c.writeBuffer) > 0 {
+		return eventloop.Read | eventloop.Write
+	}
+	return eventloop.Read
+}
+
+// write sends data. What the socket does not take now is copied to writeBuffer.
+func (c *conn) write(data []byte) {
+	if len(c.writeBuffer) == 0 {
+		n, err := c.server.loop.Write(c.fd, data)
+		if err == nil {
+			c.server.stats.Out += int64(n)
+			data = data[n:]
+		} else if !eventloop.Retryable(err) {
+			c.close()
+			return
+		}
+	}
+	c.writeBuffer = append(c.writeBuffer, data...)
+	c.flush()
+}
+
+// flush sends the contents of writeBuffer. When all of it is sent, it continues the response, or
+// closes the connection after the last one.
+func (c *conn) flush() {
+	for len(c.writeBuffer) > 0 && !c.closed {
+		n, err := c.server.loop.Write(c.fd, c.writeBuffer)
+		if eventloop.Retryable(err) {
+			c.server.loop.Want(c.fd, eventloop.Read|eventloop.Write)
+			return
+		}
+		if err != nil {
+			c.close()
+			return
+		}
+		c.server.stats.Out += int64(n)
+		c.writeBuffer = c.writeBuffer[n:]
+	}
+	if c.closed {
+		return
+	}
+	c.writeBuffer = nil
+	c.server.loop.Want(c.fd, eventloop.Read)
+	switch {
+	case c.request != nil:
+		c.request.sendMore()
+	case c.closeAfterResponse:
+		c.close()
+	}
+}
+
+func (c *conn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.server.loop.Forget(&c.idleTimer)
+	c.server.loop.Remove(c.fd)
+	unix.Close(c.fd)
+	delete(c.server.conns, c)
+	if req := c.request; req != nil {
+		c.request = nil
+		req.end()
+	}
+}
