Cache: unread responses hold back requests, and a connection has a share of a turn

Cause: the next request was handled from within the answer to the one before, whatever was unwritten, for all of a read of 256 KB. Now a response is written before the next request is handled, a connection has 64 requests a turn, and input after a 400 is dropped.

--- a/internal/cachenode/server/cache.go
+++ b/internal/cachenode/server/cache.go
@@ -221,7 +221,7 @@
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	c := &conn{server: s, fd: fd}
-	c.idleTimer.F = c.close
+	c.idleTimer.F, c.turnTimer.F = c.close, c.processInput
 	if s.loop.Add(fd, eventloop.Read, c) != nil {
 		unix.Close(fd)
 		return
--- a/internal/cachenode/server/conn.go
+++ b/internal/cachenode/server/conn.go
@@ -7,9 +7,15 @@
 	"indigospool/internal/protocol/http1"
 )
 
-// maxPipelinedBytes limits the pipelined input that a connection buffers while it handles a
-// request. Above the limit it does not read until the request is answered.
-const maxPipelinedBytes = 64 << 10
+const (
+	// maxPipelinedBytes limits the pipelined input that a connection buffers while a request or its
+	// response is under way. Above the limit it does not read until the response is written.
+	maxPipelinedBytes = 64 << 10
+
+	// maxHandledPerTurn is the number of requests of one connection that are handled in a turn of the
+	// loop.
+	maxHandledPerTurn = 64
+)
 
 // conn is a connection from a client: a router, another cache, or a user.
 type conn struct {
@@ -24,6 +30,11 @@
 	closed             bool
 	headParsed         bool // the head of the current request is parsed, its body is still being received
 	idleTimer          eventloop.Timer
+
+	processing    bool   // processInput is running
+	lastTurn      uint64 // turn of the loop in which the last request was handled
+	handledInTurn int    // requests handled in that turn
+	turnTimer     eventloop.Timer
 }
 
 // OnReady implements eventloop.Handler.
@@ -49,13 +60,46 @@
 	c.processInput()
 }
 
-// processInput parses the received bytes and handles the requests in them, one at a time.
+// mustWait reports whether the next request can't be handled now: the one before is being handled,
+// its response is not written yet, or the connection has had its share of this turn of the loop.
+func (c *conn) mustWait() bool {
+	if c.headParsed {
+		return false
+	}
+	if c.request != nil || len(c.writeBuffer) > 0 || c.turnTimer.Armed() {
+		return true
+	}
+	if turn := c.server.loop.Turns(); turn != c.lastTurn {
+		c.handledInTurn, c.lastTurn = 0, turn
+	}
+	if c.handledInTurn >= maxHandledPerTurn {
+		c.server.loop.Arm(&c.turnTimer, 0)
+		return true
+	}
+	return false
+}
+
+// processInput parses the received bytes and handles the requests in them, one at a time. Calls from
+// within, when a request is answered at once, have no effect.
 func (c *conn) processInput() {
+	if c.processing {
+		return
+	}
+	c.processing = true
+	c.processRequests()
+	c.processing = false
+	if !c.closed {
+		c.server.loop.Want(c.fd, c.interest())
+	}
+}
+
+func (c *conn) processRequests() {
 	for !c.closed && len(c.readBuffer) > 0 {
-		if c.request != nil && !c.headParsed {
-			if len(c.readBuffer) > maxPipelinedBytes {
-				c.server.loop.Want(c.fd, 0)
-			}
+		if c.closeAfterResponse && c.request == nil { // the client was told that the connection closes
+			c.readBuffer = nil
+			return
+		}
+		if c.mustWait() {
 			return
 		}
 		if !c.headParsed {
@@ -93,6 +137,7 @@
 			return
 		}
 		c.headParsed = false
+		c.handledInTurn++
 		c.server.loop.Disarm(&c.idleTimer)
 		c.request.handle()
 	}
@@ -133,17 +178,20 @@
 		return
 	}
 	c.server.loop.Arm(&c.idleTimer, c.server.cfg.IdleTimeout)
-	c.server.loop.Want(c.fd, c.interest())
-	if len(c.readBuffer) > 0 && !c.closeAfterResponse {
-		c.processInput()
-	}
+	c.processInput()
 }
 
+// interest returns the events that the connection waits for. It is not read while much of its input
+// must wait, except to learn of its end.
 func (c *conn) interest() eventloop.Interest {
+	want := eventloop.Read
+	if len(c.readBuffer) > maxPipelinedBytes && c.mustWait() {
+		want = eventloop.End
+	}
 	if len(c.writeBuffer) > 0 {
-		return eventloop.Read | eventloop.Write
+		want |= eventloop.Write
 	}
-	return eventloop.Read
+	return want
 }
 
 // write sends data. What the socket does not take now is copied to writeBuffer.
@@ -168,7 +216,7 @@
 	for len(c.writeBuffer) > 0 && !c.closed {
 		n, err := c.server.loop.Write(c.fd, c.writeBuffer)
 		if eventloop.Retryable(err) {
-			c.server.loop.Want(c.fd, eventloop.Read|eventloop.Write)
+			c.server.loop.Want(c.fd, c.interest())
 			return
 		}
 		if err != nil {
@@ -182,12 +230,14 @@
 		return
 	}
 	c.writeBuffer = nil
-	c.server.loop.Want(c.fd, eventloop.Read)
+	c.server.loop.Want(c.fd, c.interest())
 	switch {
 	case c.request != nil:
 		c.request.sendMore()
 	case c.closeAfterResponse:
 		c.close()
+	default:
+		c.processInput()
 	}
 }
 
@@ -197,6 +247,7 @@
 	}
 	c.closed = true
 	c.server.loop.Forget(&c.idleTimer)
+	c.server.loop.Forget(&c.turnTimer)
 	c.server.loop.Remove(c.fd)
 	unix.Close(c.fd)
 	delete(c.server.conns, c)
