HTTP router: no request is begun for a client that has left

Cause: a connection that is not read, as enough is read ahead, was not watched for its end. It is now, clients' events come first in a turn, and a request whose client has left is not submitted, unless half-close is set.

Test: TestPipelinedWritesOfClosedClient, case closed, failed before (1 write ran) and passes. All tests of internal/proxy/httpfront and internal/eventloop pass.

--- a/internal/eventloop/io.go
+++ b/internal/eventloop/io.go
@@ -158,6 +158,18 @@
 	return 0, nil
 }
 
+// PeerEnded reports whether the peer of a stream socket has closed its side or reset the connection,
+// even if there are earlier bytes to be read.
+func PeerEnded(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		n, err := unix.Poll(fds, 0)
+		if err != unix.EINTR {
+			return err == nil && n > 0
+		}
+	}
+}
+
 // Idle reports whether a stream socket has nothing to be read: no bytes, no end and no error.
 func Idle(fd int) bool {
 	var b [1]byte
--- a/internal/proxy/httpfront/client.go
+++ b/internal/proxy/httpfront/client.go
@@ -40,7 +40,8 @@
 	badOutcome     bool        // a bad outcome was recorded for the present request
 
 	closed             bool
-	eof                bool // the client has shut down its write side
+	eof                bool // the client has shut down its write side, and all that it sent was read
+	peerEnded          bool // the client has shut down its write side or is gone, and half-closed connections are not served
 	noProgress         bool // the client has read nothing since the idle timer was armed
 	closeAfterResponse bool // the connection is closed after the present response
 	discardInput       bool // further input is dropped, and the connection is about to close
@@ -69,6 +70,17 @@
 // OnReady writes pending output and reads input. Large output waits for its turn in the
 // scheduler.
 func (c *clientConn) OnReady(ready eventloop.Ready) {
+	if ready.Ended() && !c.edge.settings.Limits.HalfClose {
+		c.peerEnded = true
+		switch {
+		case c.current != nil: // the client no longer waits for the response, so unread input does not matter
+			c.disconnect()
+			return
+		case c.readPaused:
+			c.onEOF()
+			return
+		}
+	}
 	if ready.Writable() && c.output.Len() > 0 {
 		if c.output.Len() <= directWriteBytes {
 			c.flush()
@@ -533,8 +545,12 @@
 		return
 	}
 	want := eventloop.Interest(0)
-	if !c.readPaused && !c.eof {
+	switch {
+	case c.eof:
+	case !c.readPaused:
 		want |= eventloop.Read
+	case !c.edge.settings.Limits.HalfClose:
+		want |= eventloop.End
 	}
 	if c.output.Len() > 0 {
 		want |= eventloop.Write
@@ -895,9 +911,13 @@
 	return false
 }
 
-// submit submits the request to the module.
+// submit submits the request to the module, unless its client has left.
 func (r *clientRequest) submit() {
 	edge := r.edge
+	if r.client.peerEnded {
+		r.client.disconnect()
+		return
+	}
 	r.phase = awaitingResponse
 	r.id = edge.nextID()
 	r.spec.ID = r.id
--- a/internal/proxy/httpfront/edge.go
+++ b/internal/proxy/httpfront/edge.go
@@ -377,6 +377,7 @@
 		unix.Close(fd)
 		return nil
 	}
+	e.loop.Prioritize(fd)
 	e.clients[client] = struct{}{}
 	guard.connectionsOf[addr]++
 	guard.memory.Add(limits.Connections, clientBytes)
