Cache: no write is forwarded for a client that has left

Cause: the cache handled what was in a socket before it saw that the router had closed the connection, and forwarded the write; one whose source was still being dialled was sent, too. The end of a connection now comes first, is checked again before a write is forwarded, and cancels one of which nothing was sent.

All tests of internal/cachenode pass.

--- a/internal/cachenode/server/cache.go
+++ b/internal/cachenode/server/cache.go
@@ -226,6 +226,7 @@
 		unix.Close(fd)
 		return
 	}
+	s.loop.Prioritize(fd)
 	s.conns[c] = struct{}{}
 	s.loop.Arm(&c.idleTimer, s.cfg.IdleTimeout)
 }
--- a/internal/cachenode/server/conn.go
+++ b/internal/cachenode/server/conn.go
@@ -39,6 +39,10 @@
 
 // OnReady implements eventloop.Handler.
 func (c *conn) OnReady(r eventloop.Ready) {
+	if r.Ended() && c.request != nil { // the client no longer waits for an answer, so unread data does not matter
+		c.close()
+		return
+	}
 	if r.Writable() && len(c.writeBuffer) > 0 {
 		c.flush()
 	}
--- a/internal/cachenode/server/forward.go
+++ b/internal/cachenode/server/forward.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"indigospool/internal/eventloop"
 	"indigospool/internal/protocol/fetchheader"
 	"indigospool/internal/protocol/http1"
 )
@@ -13,11 +14,14 @@
 // not stored.
 type writeForwarder struct {
 	request *request
+	source  *sourceConn
 	status  int
 	body    []byte
 }
 
-// forwardWrite sends a write to the source that the attempt names.
+// forwardWrite sends a write to the source that the attempt names. It does not if the client has
+// closed its connection: a router that has given the attempt up may have sent the write elsewhere,
+// long ago if this process was stopped meanwhile.
 func (s *Server) forwardWrite(req *request) {
 	address := req.attempt.SourceAddress
 	if address == "" {
@@ -27,6 +31,10 @@
 		req.respondEmpty(504, fetchheader.CacheStatus{Fwd: "bypass"})
 		return
 	}
+	if eventloop.PeerEnded(req.conn.fd) {
+		req.conn.close()
+		return
+	}
 	sourceAttempt := req.attempt
 	sourceAttempt.Via, sourceAttempt.Source, sourceAttempt.SourceAddress = s.cfg.Name, "", ""
 	message := []byte(req.method + " " + req.target + " HTTP/1.1\r\n")
@@ -39,7 +47,16 @@
 		}
 	}
 	message = http1.AppendFieldInt(message, "Content-Length", int64(len(req.body)))
-	s.sendToSource(address, append(append(message, "\r\n"...), req.body...), &writeForwarder{request: req})
+	req.forwarder = &writeForwarder{request: req}
+	req.forwarder.source = s.sendToSource(address, append(append(message, "\r\n"...), req.body...), req.forwarder)
+}
+
+// cancelUnsent is called when the request has ended. If nothing of the write has been sent to the
+// source, it never will be.
+func (w *writeForwarder) cancelUnsent() {
+	if w.source != nil && w.source.handler == w && !w.source.requestStarted {
+		w.source.close()
+	}
 }
 
 func (w *writeForwarder) receiveHead(head *http1.Head) bool {
--- a/internal/cachenode/server/request.go
+++ b/internal/cachenode/server/request.go
@@ -27,6 +27,7 @@
 	stale         *store.CachedObject // stored object that must be validated before it is served
 	unconditional bool                // stale objects were validated once: the next fill fetches the whole object
 	fill          *fill               // fill that the request waits for
+	forwarder     *writeForwarder     // of a write that was forwarded
 	offset        int64               // number of body bytes sent or in writeBuffer
 	size          int64               // of the response body
 	headSent      bool
@@ -429,6 +430,9 @@
 	if r.fill != nil {
 		r.fill.removeWaiter(r)
 	}
+	if r.forwarder != nil {
+		r.forwarder.cancelUnsent()
+	}
 }
 
 // storable reports whether a response may be stored, by RFC 9111 and the rank that the attempt
