--- a/internal/protocol/thriftrpc/request.go
+++ b/internal/protocol/thriftrpc/request.go
@@ -30,9 +30,9 @@
 	maxGroup             = 255
 )
 
-// ErrDuplicateID is the error for a request with the id of another open request. The call is
-// answered with Codec.Failed, and the connection stays open.
-var ErrDuplicateID = errors.New("thriftrpc: a request with this id is already open")
+// ErrDuplicateID is the error for a request with the id of another one, which is open or was a write
+// that may have been executed. The call is answered with Codec.Failed, and the connection stays open.
+var ErrDuplicateID = errors.New("thriftrpc: a request with this id is open, or was executed")
 
 // FieldError reports an invalid field of a request. The call is answered with Codec.Failed, and
 // the connection stays open.
--- a/internal/proxy/platform/client_input.go
+++ b/internal/proxy/platform/client_input.go
@@ -300,7 +300,7 @@
 func (c *client) startCall(call *pendingCall) {
 	server := c.server
 	request, err := thriftrpc.ParseRequest(&call.Call, server.class)
-	if err == nil && server.requests[request.ID] != nil {
+	if err == nil && (server.requests[request.ID] != nil || server.endedWrites.contains(server.loop.Now(), request.ID)) {
 		err = thriftrpc.ErrDuplicateID
 	}
 	if err != nil {
--- a/internal/proxy/platform/client_test.go
+++ b/internal/proxy/platform/client_test.go
@@ -436,3 +436,58 @@
 		}
 	})
 }
+
+// A write ran twice when it came again under its id after its client had left. Another id is a new
+// write, and a write that no member has received may come again.
+func TestWriteComesAgainAfterItsClientLeft(t *testing.T) {
+	rec := &recorder{} // members execute writes, and don't answer
+	harness := newHarnessWith(t, rec.handlers(), `"idempotency":"guarded","group":"all","window":2000`, `"idempotency":"single_shot","write":true`)
+	fields := func(id string) map[string]string {
+		f := readFields(key, "class", "note")
+		if id != "" {
+			f["id"] = id
+		}
+		return f
+	}
+	first := fields("")
+	runs := func(id string) (n int) {
+		for _, arrival := range rec.requests() {
+			if arrival.ID == id {
+				n++
+			}
+		}
+		return n
+	}
+	client := harness.dial()
+	client.Ask(first, []byte("body"))
+	harness.waitUntil("the write has reached the origin", func() bool { return runs(first["id"]) == 1 })
+	client.Close()
+	harness.waitUntil("the request has ended", func() (ended bool) {
+		harness.server.loop.Call(waitTimeout, func() { ended = len(harness.server.requests) == 0 })
+		return ended
+	})
+	if result := harness.roundTrip(fields(first["id"]), []byte("body")); result.Word != "failed" {
+		t.Errorf("the repeated write was answered %+v, want failed", result)
+	}
+	other := fields("")
+	client = harness.dial()
+	client.Ask(other, []byte("body"))
+	harness.waitUntil("a write with another id has reached the origin", func() bool { return runs(other["id"]) == 1 })
+	if n := runs(first["id"]); n != 1 {
+		t.Errorf("the write ran %d times, want once", n)
+	}
+}
+
+// The memory for ids of ended writes is limited, by number and by time.
+func TestEndedWritesAreForgotten(t *testing.T) {
+	writes := newEndedWrites()
+	for i := range maxEndedWrites + 10 {
+		writes.add(0, fmt.Sprint(i))
+	}
+	if len(writes.ids) != maxEndedWrites || len(writes.ended) != maxEndedWrites || writes.contains(0, "9") || !writes.contains(0, "10") {
+		t.Errorf("%d ids are remembered, want the last %d", len(writes.ids), maxEndedWrites)
+	}
+	if writes.contains(endedWriteTime, "10") || len(writes.ids) != 0 {
+		t.Errorf("%d ids are remembered after their time, want none", len(writes.ids))
+	}
+}
--- a/internal/proxy/platform/connection.go
+++ b/internal/proxy/platform/connection.go
@@ -133,6 +133,7 @@
 	}
 	server := c.pool.server
 	attempt.written = true
+	attempt.request.sent = true
 	attempt.writtenAt = eventloop.Clock()
 	c.writing = nil
 	server.loop.Disarm(&c.frameTimer)
--- a/internal/proxy/platform/request.go
+++ b/internal/proxy/platform/request.go
@@ -16,9 +16,12 @@
 	sequence int32   // the sequence number of the call
 	deadline float64 // when the client stops waiting
 	write    bool    // whether the class was for writes on arrival; a reload may change the class
+	sent     bool    // whether a frame of an attempt was written
 	attempts int     // number of attempts started
 	inFlight *attempt
 
+	idempotency spool.Idempotency // of the class on arrival
+
 	// staleAfter is the shortest idle time, in ms, after which a member is likely to have
 	// dropped a connection that an attempt of this request used; 0 if none has.
 	staleAfter float64
@@ -35,6 +38,8 @@
 		sequence: sequence,
 		deadline: arrivedAfter + call.TimeLeft,
 		write:    s.classes[call.Class].Write,
+
+		idempotency: s.classes[call.Class].Idempotency,
 	}
 	if s.drainStarted > 0 {
 		req.deadline = min(req.deadline, s.lastAnswerBy-drainTickInterval)
@@ -76,6 +81,9 @@
 	if s.requests[req.ID] == req {
 		delete(s.requests, req.ID)
 		s.releaseBody(len(req.Body))
+		if req.mayHaveEffects() {
+			s.endedWrites.add(s.loop.Now(), req.ID)
+		}
 	}
 }
 
--- a/internal/proxy/platform/server.go
+++ b/internal/proxy/platform/server.go
@@ -36,7 +36,8 @@
 	codec             *thriftrpc.Codec
 	clients           map[*client]struct{}
 	requests          map[string]*request // requests in flight, by id
-	pools             map[string]*pool    // by id of the member: a cache, a parent or the origin
+	endedWrites       endedWrites
+	pools             map[string]*pool // by id of the member: a cache, a parent or the origin
 	connectionLimits  limits.ConnectionQuota
 	memberConnections int // member connections that are open or being dialled
 	buffers           eventloop.Buffers
@@ -76,6 +77,7 @@
 		codec:            thriftrpc.NewCodec(),
 		clients:          map[*client]struct{}{},
 		requests:         map[string]*request{},
+		endedWrites:      newEndedWrites(),
 		pools:            map[string]*pool{},
 		connectionLimits: limits.NewConnectionQuota(config.Limits.Sockets),
 		readBuffer:       make([]byte, readBufferBytes),
