Module: a keyed request stays in the cell or zone where it may have run

Cause: the groups were compared by the member's present entry of the list. The entry at the time of the attempt is kept now.

Test: TestKeyScopeOfRestartedCache failed before (four attempts in the other cell) and passes. TestKeyScope sets up its request by recordExecution, with the same assertions.

--- a/request.go
+++ b/request.go
@@ -40,8 +40,9 @@
 	erroredAt *member // the cache that answered with an error, without a source involved
 	invalid   bool    // a second cache answered with an error too
 
-	executedBy *member // target of the first attempt that may have run; nil: none
-	executedAt Millis  // when that attempt was sent
+	executedBy     *member // target of the first attempt that may have run; nil: none
+	executedMember Member  // its entry of the endpoint list when that attempt was sent
+	executedAt     Millis  // when that attempt was sent
 
 	rejected           bool   // the last attempt was rejected
 	notBefore          Millis // time of the earliest next attempt
@@ -151,7 +152,7 @@
 	r.acquireAttempt(&attempt)
 	r.takeTokens(request, &attempt)
 	if request.executedBy == nil { // cleared if the outcome shows that the attempt did not run
-		request.executedBy, request.executedAt = target, r.now
+		request.recordExecution(target, r.now)
 	}
 	request.attempts = append(request.attempts, attempt)
 }
@@ -362,6 +363,11 @@
 	}
 }
 
+// recordExecution records that an attempt that is sent now may run.
+func (q *request) recordExecution(target *member, now Millis) {
+	q.executedBy, q.executedMember, q.executedAt = target, target.Member, now
+}
+
 // clearExecution records that an attempt did not run.
 func (q *request) clearExecution(attempt *attempt) {
 	if q.executedBy == attempt.target && q.executedAt == attempt.sent {
--- a/retry.go
+++ b/retry.go
@@ -79,19 +79,24 @@
 }
 
 // mayRunAt reports whether a request may be sent to a member. A request that may have run and is not
-// idempotent may only be sent to members that remember its idempotency key.
+// idempotent may only be sent to members that remember its idempotency key: to those of the zone or
+// cell in which it may have run. The member itself may have been restarted since, in another one.
 func (q *request) mayRunAt(member *member) bool {
-	if q.executedBy == nil || q.class.Idempotency == Idempotent || member == q.executedBy {
+	if q.executedBy == nil || q.class.Idempotency == Idempotent {
 		return true
 	}
-	sameZone := member.Zone == q.executedBy.Zone
+	executed := &q.executedMember
+	if member == q.executedBy && member.ReadyAt == executed.ReadyAt {
+		return true
+	}
+	sameZone := member.Zone == executed.Zone
 	switch q.class.KeyScope {
 	case ScopeAll:
 		return true
 	case ScopeZone:
 		return sameZone
 	case ScopeCell:
-		return sameZone && member.Cell == q.executedBy.Cell
+		return sameZone && member.Cell == executed.Cell
 	}
 	return false
 }
--- a/retry_test.go
+++ b/retry_test.go
@@ -263,7 +263,8 @@
 		{ScopeZone, [4]bool{true, true, true, false}},
 		{ScopeAll, [4]bool{true, true, true, true}},
 	} {
-		request := &request{class: &class{Class: Class{Idempotency: IdempotentByKey, KeyScope: test.group}}, executedBy: executed}
+		request := &request{class: &class{Class: Class{Idempotency: IdempotentByKey, KeyScope: test.group}}}
+		request.recordExecution(executed, 0)
 		var got [4]bool
 		for i, member := range []*member{executed, sameCell, otherCell, otherZone} {
 			got[i] = request.mayRunAt(member)
@@ -273,3 +274,42 @@
 		}
 	}
 }
+
+// A request with an idempotency key was sent on to the cell of a restarted cache, though it may have
+// run while the cache was in another cell, whose caches remember the key.
+func TestKeyScopeOfRestartedCache(t *testing.T) {
+	settings := testSettings()
+	settings.DirectAttempts = false
+	rows := baseRows()
+	for i := range rows {
+		rows[i].Cell = i % 2 // e1 and e3 in cell 0, e2 in cell 1
+	}
+	for _, moved := range []bool{false, true} {
+		rig := newRig(t, settings, rows...)
+		id, actions := rig.request("keyed", "object", 0)
+		first := rig.onlySend(actions).Cache
+		cells := map[string]int{}
+		var restarted Member
+		for _, member := range rows {
+			cells[member.ID] = member.Cell
+			if member.ID == first {
+				restarted = member
+			}
+		}
+		restarted.ReadyAt = rig.now
+		if moved {
+			restarted.Cell = 1 - restarted.Cell
+		}
+		rig.handle(Members{Rows: []Member{restarted}})
+		actions = rig.handle(Outcome{ID: id, Attempt: 0, Cache: first, Result: Reset, Took: 1})
+		for attempt := 1; attempt < 5; attempt++ {
+			actions = append(actions, rig.wait(200)...)
+			for _, send := range sends(actions) {
+				if cells[send.Cache] != cells[first] || moved && send.Cache == first {
+					t.Errorf("moved %v: sent to %s in cell %d after it may have run at %s in cell %d", moved, send.Cache, cells[send.Cache], first, cells[first])
+				}
+				actions = rig.handle(Outcome{ID: id, Attempt: attempt, Cache: send.Cache, Result: Reset, Took: 1})
+			}
+		}
+	}
+}
