Routers: what is not written is taken back when a member has another address

Cause: attempts were taken back when a member drains or is gone, not when it moves, and the HTTP router's idle connections stayed with the address. Both routers take such attempts back now, and the HTTP router closes the address's connections when they are idle.

Tests: TestMemberMovesDuringDial and TestCacheMovesWhileRequestWaits failed before (one attempt too many at the former address), and pass; TestSourceReplacedAtItsAddress (cache) passed before, too. All tests of both routers pass.

--- a/internal/proxy/httpfront/edge.go
+++ b/internal/proxy/httpfront/edge.go
@@ -547,7 +547,7 @@
 		switch ev := event.(type) {
 		case spool.Members:
 			e.dispatch(ev)
-			e.abandonDrained()
+			e.abandonUnavailable()
 		case spool.Purge:
 			e.stats.Purges++
 			if e.handingOver {
@@ -561,23 +561,30 @@
 	return result
 }
 
-// abandonDrained closes idle connections to members that no longer serve, and ends the attempts
-// to them that are not written yet, since these could otherwise reach a member after its drain
-// grace. The module sends new attempts elsewhere.
-func (e *Edge) abandonDrained() {
+// abandonUnavailable closes idle connections to members that no longer serve or have another address,
+// and ends the attempts to them that are not written yet: these could otherwise reach a member after
+// its drain grace, or another process that has its former address. The module decides again.
+func (e *Edge) abandonUnavailable() {
 	drained := func(id string) bool {
 		m, ok := e.core.Member(id)
 		return ok && m.State != spool.Serving
 	}
 	for address, pool := range e.pools {
+		moved := e.core.Address(pool.member) != address
+		if moved {
+			pool.retire()
+		}
 		if drained(pool.member) {
 			pool.closeIdle()
 		}
-		if len(pool.connections)+len(pool.waiting) == 0 && e.core.Address(pool.member) != address {
-			delete(e.pools, address) // the member has restarted at another address
+		if moved && len(pool.connections)+len(pool.waiting) == 0 {
+			delete(e.pools, address)
 		}
 	}
-	e.abandonUnwritten(func(t *upstreamAttempt) bool { return drained(t.cache) || t.source != t.cache && drained(t.source) })
+	e.abandonUnwritten(func(t *upstreamAttempt) bool {
+		moved := t.pool != nil && e.core.Address(t.cache) != t.pool.address
+		return moved || drained(t.cache) || t.source != t.cache && drained(t.source)
+	})
 }
 
 // abandonPurged ends the attempts for purged objects that are not written yet: the greatest age
--- a/internal/proxy/httpfront/upstream.go
+++ b/internal/proxy/httpfront/upstream.go
@@ -216,7 +216,7 @@
 		return nil
 	}
 	for u := range p.connections {
-		if queued := len(u.pipelined); queued < depth && (u.state == upAwaitingHead || u.state == upRelayingBody) && u.output.Len() == 0 && !u.paused &&
+		if queued := len(u.pipelined); queued < depth && (u.state == upAwaitingHead || u.state == upRelayingBody) && u.output.Len() == 0 && !u.paused && !u.retired &&
 			(best == nil || queued < len(best.pipelined)) {
 			best = u
 		}
@@ -255,6 +255,15 @@
 	}
 }
 
+// retire closes the connections of the pool as soon as they are idle: its member has another address,
+// and another process may use this one.
+func (p *connPool) retire() {
+	p.closeIdle()
+	for u := range p.connections {
+		u.retired = true
+	}
+}
+
 // upstreamState is the state of an upstream connection.
 type upstreamState uint8
 
@@ -290,6 +299,7 @@
 	stallReported bool        // the module was told that the response is stalled
 	queued        bool        // the connection is readable, and in the scheduler's queue
 	queuedSince   float64     // time at which queued was last set
+	retired       bool        // closed after the present attempt: the member has another address
 }
 
 // connect opens a connection to the pool's address.
@@ -601,7 +611,7 @@
 // makeIdle keeps the connection for another attempt, unless the member no longer serves.
 func (u *upstreamConn) makeIdle() {
 	u.attempt, u.state, u.paused = nil, upIdle, false
-	if m, ok := u.edge.core.Member(u.pool.member); ok && m.State != spool.Serving {
+	if m, ok := u.edge.core.Member(u.pool.member); u.retired || ok && m.State != spool.Serving {
 		u.close()
 		return
 	}
--- a/internal/proxy/platform/pool.go
+++ b/internal/proxy/platform/pool.go
@@ -155,13 +155,22 @@
 	return spool.ConnectFailed
 }
 
-// close removes the pool of a member that is draining, was removed or has another address. Its
+// close removes the pool of a member that is draining, was removed or has another address. Attempts
+// that are not written at all are taken back: another process may have the address now. The
 // connections are closed once no attempt is on them. Later attempts use a new pool.
 func (p *pool) close() {
 	delete(p.server.pools, p.id)
+	var unwritten []*attempt
+	for _, c := range p.connections {
+		unwritten = append(unwritten, c.queued...)
+	}
+	for _, a := range unwritten {
+		a.detach()
+		a.finish(spool.NotSent, spool.NoteNone, 0)
+	}
 	for _, c := range slices.Clone(p.connections) {
 		c.closing = true
-		if c.load() == 0 {
+		if c.load() == 0 && c.writing == nil {
 			c.close()
 		}
 	}
