Module: the depths of objects take bounded memory, however long the names are

Cause: the depths of 20,000 objects are kept in each of two generations under their names, and an HTTP name may have 30 KB. Objects with names over 256 bytes now count as unseen.

--- a/rangesplit.go
+++ b/rangesplit.go
@@ -32,6 +32,7 @@
 	// The depths of objects are kept in two generations. A new one begins when the current one has
 	// maxObjects objects or is older than objectGenerationSpan.
 	maxObjects           = 20000
+	maxObjectName        = 256 // bytes; objects with longer names are not remembered, which bounds the memory of a generation
 	objectGenerationSpan = Millis(60000)
 )
 
@@ -100,8 +101,12 @@
 	}
 }
 
-// depthOf returns the depth of an object, after moving or adding it to the current generation.
+// depthOf returns the depth of an object, after moving or adding it to the current generation. One
+// with a very long name always is as if it was unseen.
 func (r *Router) depthOf(object string) *objectDepth {
+	if len(object) > maxObjectName {
+		return &objectDepth{}
+	}
 	if len(r.objectDepths[0]) >= maxObjects || r.now-r.objectDepthsRotatedAt > objectGenerationSpan {
 		r.objectDepths[1], r.objectDepths[0] = r.objectDepths[0], map[string]*objectDepth{}
 		r.objectDepthsRotatedAt = r.now
--- a/rangesplit_test.go
+++ b/rangesplit_test.go
@@ -5,6 +5,7 @@
 	"math/rand"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 )
 
@@ -143,3 +144,21 @@
 		}
 	}
 }
+
+// What is remembered of objects grew to hundreds of MB when requests came under ever new, long names.
+func TestMemoryOfLongObjectNames(t *testing.T) {
+	rig := newRig(t, testSettings())
+	long := strings.Repeat("x", 30000)
+	for i := range 2 * maxObjects {
+		rig.router.recordPart(&request{Request: Request{Object: fmt.Sprint(long[:i%30000], i)}, class: rig.router.classes["video"]})
+	}
+	bytes := 0
+	for _, generation := range rig.router.objectDepths {
+		for name := range generation {
+			bytes += len(name)
+		}
+	}
+	if limit := 2 * maxObjects * maxObjectName; bytes > limit {
+		t.Errorf("%d bytes of names are remembered, want at most %d", bytes, limit)
+	}
+}
