HTTP router, cache: a limit for the bodies of all writes together

Cause: bodies could use all of the budget, left their former buffers to the garbage collector as they grew, and the cache had no limit. Bodies now have a quarter of the router's budget and 64 MB in a cache, and one buffer of the announced length.

--- a/internal/cachenode/server/cache.go
+++ b/internal/cachenode/server/cache.go
@@ -72,9 +72,12 @@
 	fillsInFlight int
 	idleSources   map[string][]*sourceConn // by address
 	scratch       []byte                   // for reads on the loop
-	hitRatio      float64                  // moving average
-	stats         Stats
-	stopped       chan struct{} // closed when the loop has stopped
+
+	requestBodyBytes int64 // memory for the bodies of all requests
+
+	hitRatio float64 // moving average
+	stats    Stats
+	stopped  chan struct{} // closed when the loop has stopped
 
 	// OnEvent, if set, is called on the loop for each Event. It must be set before Run.
 	OnEvent func(Event)
--- a/internal/cachenode/server/conn.go
+++ b/internal/cachenode/server/conn.go
@@ -15,6 +15,9 @@
 	// maxHandledPerTurn is the number of requests of one connection that are handled in a turn of the
 	// loop.
 	maxHandledPerTurn = 64
+
+	// maxRequestBodyBytes limits the bodies of all requests together.
+	maxRequestBodyBytes = 64 << 20
 )
 
 // conn is a connection from a client: a router, another cache, or a user.
@@ -132,7 +135,11 @@
 				c.respond(400, err.Error())
 				return
 			}
-			c.request.body = append(c.request.body, data...)
+			if !c.request.appendBody(data) {
+				c.closeAfterResponse = true
+				c.respond(503, "too many bytes of request bodies are in memory: send the request again later")
+				return
+			}
 			if c.readBuffer = c.readBuffer[n:]; n == 0 {
 				return
 			}
--- a/internal/cachenode/server/request.go
+++ b/internal/cachenode/server/request.go
@@ -73,6 +73,22 @@
 	return req
 }
 
+// appendBody appends to the body. It returns false if the bodies of all requests exceed their limit.
+func (r *request) appendBody(data []byte) bool {
+	s := r.server
+	if need := len(r.body) + len(data); need > cap(r.body) {
+		larger := min(max(2*cap(r.body), need), max(s.cfg.MaxBodyBytes, need))
+		grown := int64(larger - cap(r.body))
+		if s.requestBodyBytes+grown > maxRequestBodyBytes {
+			return false
+		}
+		s.requestBodyBytes += grown
+		r.body = append(make([]byte, 0, larger), r.body...)
+	}
+	r.body = append(r.body, data...)
+	return true
+}
+
 var fillField = strings.ToLower(fetchheader.FillField)
 
 func (r *request) handle() {
@@ -416,6 +432,8 @@
 		return
 	}
 	r.ended = true
+	r.server.requestBodyBytes -= int64(cap(r.body))
+	r.body = nil
 	if !r.answered {
 		r.emit("left", 0, 0, 0, false)
 	}
--- a/internal/cachenode/server/source.go
+++ b/internal/cachenode/server/source.go
@@ -47,7 +47,7 @@
 func (s *Server) sendToSource(address string, message []byte, handler responseHandler) *sourceConn {
 	for idle := s.idleSources[address]; len(idle) > 0; idle = s.idleSources[address] {
 		sc := idle[len(idle)-1]
-		s.idleSources[address] = idle[:len(idle)-1]
+		s.setIdleSources(address, idle[:len(idle)-1])
 		if !eventloop.Idle(sc.fd) {
 			sc.close()
 			continue
@@ -73,6 +73,15 @@
 	sourceIdleMillis = 5000
 )
 
+// setIdleSources sets the idle connections to an address. Nothing is kept of an address without any.
+func (s *Server) setIdleSources(address string, idle []*sourceConn) {
+	if len(idle) == 0 {
+		delete(s.idleSources, address)
+		return
+	}
+	s.idleSources[address] = idle
+}
+
 // dial begins to connect. It retries after a lack of a local resource, which says nothing about
 // the source. Any other failure is reported in the next turn, as for a connection that is refused.
 func (sc *sourceConn) dial() {
@@ -137,7 +146,7 @@
 	idle := sc.server.idleSources[sc.address]
 	for i, other := range idle {
 		if other == sc {
-			sc.server.idleSources[sc.address] = append(idle[:i], idle[i+1:]...)
+			sc.server.setIdleSources(sc.address, append(idle[:i], idle[i+1:]...))
 			break
 		}
 	}
@@ -270,7 +279,7 @@
 		sc.close()
 	} else {
 		sc.server.loop.Arm(&sc.timer, sourceIdleMillis)
-		sc.server.idleSources[sc.address] = append(sc.server.idleSources[sc.address], sc)
+		sc.server.setIdleSources(sc.address, append(sc.server.idleSources[sc.address], sc))
 	}
 	handler.finish()
 }
--- a/internal/proxy/httpfront/client.go
+++ b/internal/proxy/httpfront/client.go
@@ -59,7 +59,10 @@
 const (
 	retryAfter      = 1000     // ms, before jitter, that a rejected client is told to wait
 	maxFreeRequests = 1024     // finished requests that are kept for reuse
-	maxReusedBody   = 64 << 10 // bytes; a request with a larger body buffer is not reused
+	maxReusedBody   = 4 << 10  // bytes; a request with a larger body buffer is not reused
+	maxReusedHead   = 4 << 10  // bytes; nor is one with a larger head buffer
+	minBodyBytes    = 1 << 10  // bytes; smallest buffer for a body
+	maxGrowingBody  = 64 << 10 // bytes; larger buffers are allocated for the announced length
 
 	// maxStartedPerTurn is the number of requests of one client that are started in a turn of the
 	// loop. A pipelined request is started when the one before it is answered, so only clients whose
@@ -295,6 +298,7 @@
 	if request.startPage(head); request.page == nil {
 		request.composeForwardHead(head)
 	}
+	request.bodyLength = head.ContentLength
 	if err := request.body.Start(head, int64(edge.settings.Limits.BodyBytes)); err != nil {
 		c.rejectInvalid(err)
 		return
@@ -776,6 +780,7 @@
 	httpMinor    int    // minor version of the client's HTTP/1
 	forwardHead  []byte // request line and fields as forwarded to members
 	requestBody  []byte // body of a write
+	bodyLength   int64  // its announced length; -1 if there is none
 	attempts     []*upstreamAttempt
 	openAttempts int              // attempts without an outcome
 	winner       *upstreamAttempt // the attempt whose response is relayed; nil before
@@ -846,11 +851,10 @@
 		if err != nil {
 			return n, err
 		}
-		oldCap := cap(r.requestBody)
-		r.requestBody = append(r.requestBody, content...)
-		if grown := int64(cap(r.requestBody) - oldCap); grown > 0 {
-			r.accounted += grown
-			r.edge.guard.memory.Add(limits.Bodies, grown)
+		if !r.appendBody(content) {
+			r.edge.guard.counts[limits.Memory]++
+			r.shed(limits.Memory)
+			return n, nil
 		}
 		if used == 0 {
 			break
@@ -862,6 +866,36 @@
 	return n, nil
 }
 
+// appendBody appends to the body that is kept. It returns false if the memory for bodies is used up.
+func (r *clientRequest) appendBody(content []byte) bool {
+	if need := len(r.requestBody) + len(content); need > cap(r.requestBody) {
+		grown := r.bodyCapacity(need) - cap(r.requestBody)
+		if !r.edge.guard.memory.HasRoomForBody(int64(grown)) {
+			return false
+		}
+		larger := make([]byte, len(r.requestBody), cap(r.requestBody)+grown)
+		copy(larger, r.requestBody)
+		r.requestBody = larger
+		r.accounted += int64(grown)
+		r.edge.guard.memory.Add(limits.Bodies, int64(grown))
+	}
+	r.requestBody = append(r.requestBody, content...)
+	return true
+}
+
+// bodyCapacity returns the capacity for a body of which need bytes have arrived. Up to maxGrowingBody
+// it grows with them; then it is the whole length, if that was announced, so that a large body is
+// copied only once.
+func (r *clientRequest) bodyCapacity(need int) int {
+	switch {
+	case need <= maxGrowingBody:
+		return min(max(2*cap(r.requestBody), need, minBodyBytes), maxGrowingBody)
+	case r.bodyLength >= int64(need):
+		return int(r.bodyLength)
+	}
+	return min(2*need, max(r.edge.settings.Limits.BodyBytes, need))
+}
+
 // composeForwardHead composes the head that is forwarded to members: the client's without
 // hop-by-hop fields, framing, and the fields that the router sets itself.
 func (r *clientRequest) composeForwardHead(head *http1.Head) {
@@ -1056,7 +1090,7 @@
 		r.edge.guard.memory.Add(limits.Bodies, requestBytes-r.accounted)
 		r.accounted = 0
 	}
-	if e := r.edge; len(e.freeRequests) < maxFreeRequests && cap(r.requestBody) <= maxReusedBody {
+	if e := r.edge; len(e.freeRequests) < maxFreeRequests && cap(r.requestBody) <= maxReusedBody && cap(r.forwardHead) <= maxReusedHead {
 		e.freeRequests = append(e.freeRequests, r) // newRequest clears it
 	}
 }
--- a/internal/proxy/httpfront/replaced_test.go
+++ b/internal/proxy/httpfront/replaced_test.go
@@ -21,7 +21,9 @@
 		t.Fatalf("response %v, error %v; want 200", res, err)
 	}
 	received := func(id string) int {
-		return rig.countRecords(func(record trafficlog.Record) bool { return record.Event == trafficlog.AttemptReceived && record.Subject == id })
+		return rig.countRecords(func(record trafficlog.Record) bool {
+			return record.Event == trafficlog.AttemptReceived && record.Subject == id
+		})
 	}
 	before := received("b0")
 	old.Fault(testserver.Fault{Kind: testserver.Hang, For: 400})
--- a/internal/proxy/limits/budget.go
+++ b/internal/proxy/limits/budget.go
@@ -26,6 +26,10 @@
 	shedDownTo        = 0.80 // closing and shedding free memory down to this level
 )
 
+// maxBodyShare is the share of the total that the bodies of writes may use. It is low, since a body that
+// a member takes slowly is copied to the buffers of its connection.
+const maxBodyShare = 0.25
+
 const (
 	roomDivisor    = 256      // one answer may use the free memory divided by this
 	minRoom        = 16 << 10 // bytes; one read of a member's connection
@@ -91,6 +95,11 @@
 	return min(max(int(free/roomDivisor), minRoom), limit)
 }
 
+// HasRoomForBody reports whether the bodies of writes may use n more bytes.
+func (b *Budget) HasRoomForBody(n int64) bool {
+	return b.Total <= 0 || float64(b.used[Bodies]+n) <= maxBodyShare*float64(b.Total)
+}
+
 // UnaccountedMemory returns how much of a process's total bytes of memory no Budget accounts
 // for: program, runtime, logs and queues. It is at most three quarters of the total.
 func UnaccountedMemory(total int64) int64 { return min(maxUnaccounted, total*3/4) }
