Platform router: a read within a read has its own buffer

Handling the messages of one read may start attempts, and a long turn then reads from other clients before it writes: that read used the same buffer, and a client was read while its own messages were handled. A nested read takes a buffer from the pool, and a client whose messages are being handled is not read.

Test: TestReadWithinRead.

--- a/internal/proxy/platform/answer.go
+++ b/internal/proxy/platform/answer.go
@@ -90,9 +90,12 @@
 func (c *memberConn) read() {
 	server := c.pool.server
 	partial := c.input.Len() > 0 // input has the first part of an answer
-	buffer := server.readBuffer
+	var buffer []byte
 	if partial {
 		buffer = c.input.Room()
+	} else {
+		buffer = server.borrowReadBuffer()
+		defer server.returnReadBuffer(buffer)
 	}
 	size, err := server.loop.Read(c.fd, buffer)
 	if eventloop.Retryable(err) {
--- a/internal/proxy/platform/client.go
+++ b/internal/proxy/platform/client.go
@@ -18,6 +18,7 @@
 	open         map[int32]*request // started requests without a final answer, by sequence number
 	pending      []pendingCall      // calls that were read but not started
 	lastSequence int32              // sequence number of the last call of serve
+	parsing      bool               // parse is running: the connection must not be read from within
 	localAnswers int                // answers without a request that were queued since the output was last empty
 	inputHeld    bool               // input may have complete messages that wait until the client has read answers
 	activity     limits.ClientActivity
--- a/internal/proxy/platform/client_input.go
+++ b/internal/proxy/platform/client_input.go
@@ -40,13 +40,15 @@
 		return
 	}
 	server := c.server
+	buffer := server.borrowReadBuffer()
+	defer server.returnReadBuffer(buffer)
 	arrivedAfter := c.unreadSince
 	if arrivedAfter == 0 {
 		arrivedAfter = max(server.loop.EarliestArrival(), c.allReadAt)
 	}
 	for left := maxReadPerTurn; left > 0; {
 		startedAt := eventloop.Clock()
-		size, err := server.loop.Read(c.fd, server.readBuffer)
+		size, err := server.loop.Read(c.fd, buffer)
 		switch {
 		case err == unix.EAGAIN:
 			c.noteAllRead(startedAt, maxReadPerTurn-left)
@@ -58,7 +60,7 @@
 			c.close()
 			return
 		}
-		c.parse(server.readBuffer[:size], arrivedAfter)
+		c.parse(buffer[:size], arrivedAfter)
 		if c.closed {
 			return
 		}
@@ -67,7 +69,7 @@
 			return
 		}
 		left -= size
-		if size < len(server.readBuffer) && !server.inLongTurn() { // in a long turn, read on to see an end of the stream
+		if size < len(buffer) && !server.inLongTurn() { // in a long turn, read on to see an end of the stream
 			c.noteAllRead(startedAt, maxReadPerTurn-left)
 			return
 		}
@@ -75,6 +77,24 @@
 	c.unreadSince = arrivedAfter
 }
 
+// borrowReadBuffer returns a buffer for a read, until returnReadBuffer. While the messages of one read
+// are handled, a long turn may read from another client: that read must not use the same buffer.
+func (s *Server) borrowReadBuffer() []byte {
+	if s.readBufferBorrowed {
+		return s.buffers.Get(readBufferBytes)[:readBufferBytes]
+	}
+	s.readBufferBorrowed = true
+	return s.readBuffer
+}
+
+func (s *Server) returnReadBuffer(buffer []byte) {
+	if &buffer[0] == &s.readBuffer[0] {
+		s.readBufferBorrowed = false
+		return
+	}
+	s.buffers.Put(buffer)
+}
+
 // noteAllRead records that a read that began at startedAt left nothing unread. size is the
 // number of bytes read in this turn.
 func (c *client) noteAllRead(startedAt float64, size int) {
@@ -88,7 +108,7 @@
 
 // receiveInLongTurn reads what the client has sent since a long turn began.
 func (c *client) receiveInLongTurn() {
-	if c.closed || c.activity.ShutdownAt > 0 || !c.server.inLongTurn() || eventloop.Clock()-c.allReadAt < longTurnTime {
+	if c.closed || c.parsing || c.activity.ShutdownAt > 0 || !c.server.inLongTurn() || eventloop.Clock()-c.allReadAt < longTurnTime {
 		return
 	}
 	c.receive()
@@ -133,6 +153,8 @@
 // input.
 func (c *client) parse(data []byte, arrivedAfter float64) {
 	server := c.server
+	c.parsing = true
+	defer func() { c.parsing = false }()
 	used, data, err := c.handleBuffered(data, arrivedAfter)
 	if err == nil && !c.closed && c.input.Len() == 0 {
 		var direct int
--- a/internal/proxy/platform/deadline_test.go
+++ b/internal/proxy/platform/deadline_test.go
@@ -255,3 +255,44 @@
 		}
 	})
 }
+
+// TestReadWithinRead checks that a read from one client while the messages of another are handled
+// leaves these messages as they are, and that a client is not read while its own are handled.
+func TestReadWithinRead(t *testing.T) {
+	harness := newHarness(t, nil)
+	client := harness.dial()
+	harness.waitTurn()
+	harness.server.loop.Call(waitTimeout, func() {
+		outer := harness.server.borrowReadBuffer()
+		inner := harness.server.borrowReadBuffer()
+		if &outer[0] == &inner[0] || len(inner) != len(outer) {
+			t.Error("two reads share a buffer")
+		}
+		harness.server.returnReadBuffer(inner)
+		if third := harness.server.borrowReadBuffer(); &outer[0] == &third[0] {
+			t.Error("a buffer is borrowed again before it was returned")
+		} else {
+			harness.server.returnReadBuffer(third)
+		}
+		harness.server.returnReadBuffer(outer)
+		if again := harness.server.borrowReadBuffer(); &again[0] != &outer[0] {
+			t.Error("the usual buffer is not used again")
+		}
+		harness.server.returnReadBuffer(outer)
+	})
+	release := harness.blockLoopThen(func() {
+		for c := range harness.server.clients {
+			c.parsing = true
+			c.receiveInLongTurn()
+			if c.parsing = false; len(c.pending) > 0 {
+				t.Error("a client was read while its messages were handled")
+			}
+		}
+	})
+	client.Ask(readFields(key), nil)
+	time.Sleep(2 * longTurnTime * time.Millisecond)
+	release()
+	if result, err := client.Result(waitTimeout); err != nil || result.Word != "served" {
+		t.Errorf("answer %+v, error %v; want served", result, err)
+	}
+}
--- a/internal/proxy/platform/discovery_stream.go
+++ b/internal/proxy/platform/discovery_stream.go
@@ -165,7 +165,9 @@
 // read reads the available data and applies the events in it.
 func (c *discoveryConn) read() {
 	stream, server := c.stream, c.stream.server
-	size, err := server.loop.Read(c.fd, server.readBuffer)
+	buffer := server.borrowReadBuffer()
+	defer server.returnReadBuffer(buffer)
+	size, err := server.loop.Read(c.fd, buffer)
 	if eventloop.Retryable(err) {
 		return
 	}
@@ -175,7 +177,7 @@
 	}
 	stream.connAlive(c)
 	upToDate := stream.decoder.UpToDateFrames
-	if err := stream.decoder.Decode(server.readBuffer[:size], server.applyEvent); err != nil {
+	if err := stream.decoder.Decode(buffer[:size], server.applyEvent); err != nil {
 		server.log.Warn("discovery stream unusable, reconnecting", zap.Error(err))
 		stream.connEnded(c)
 		return
--- a/internal/proxy/platform/server.go
+++ b/internal/proxy/platform/server.go
@@ -41,10 +41,12 @@
 	connectionLimits  limits.ConnectionQuota
 	memberConnections int // member connections that are open or being dialled
 	buffers           eventloop.Buffers
-	readBuffer        []byte // reused by every read; no reference to it may be kept
+	readBuffer        []byte // reused by reads, see borrowReadBuffer; no reference to it may be kept
 	unsentBytes       int    // bytes in the output queues of all clients
 	bodyBytes         int    // bytes in the bodies of pending and open calls
 
+	readBufferBorrowed bool
+
 	stream       discoveryStream
 	platformTime unixclock.Clock // the platform's time, estimated from timestamps in discovery events
 
