Tests of memory: one package starts the router; bodies have a tenth and a fifth

Both routers' tests of memory started a process by the same code; internal/testbed/routerprocess does it now. The shares for bodies go from 0.15 to 0.10 of the platform router's memory, and from 0.25 to 0.20 of the HTTP router's budget, to leave more room on machines where the program's pages take more.

--- a/internal/proxy/httpfront/memory_test.go
+++ b/internal/proxy/httpfront/memory_test.go
@@ -8,15 +8,13 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
+	"indigospool/internal/testbed/routerprocess"
 	"indigospool/internal/testbed/testserver"
 )
 
@@ -25,36 +23,28 @@
 	manyClients     = 320 // connected at the same time
 )
 
-// startProcess builds the router and starts it as a process with the rig's members. It returns the
-// address at which it listens, and a function that returns the peak of its resident memory in KiB.
-func (r *testRig) startProcess(limits string) (address string, peak func() int) {
+// startProcess starts a router process with the rig's members, and returns its address.
+func (r *testRig) startProcess(limits string) (process *routerprocess.Process, address string) {
 	r.t.Helper()
 	folder := r.t.TempDir()
-	program, settings := filepath.Join(folder, "spool-router"), filepath.Join(folder, "router.edn")
-	if out, err := exec.Command("go", "build", "-o", program, "../../../cmd/spool-router").CombinedOutput(); err != nil {
-		r.t.Fatalf("go build: %v: %s", err, out)
-	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	program, err := routerprocess.Build(folder)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	address = free.Addr().String()
-	free.Close()
+	if address, err = routerprocess.FreeAddress(); err != nil {
+		r.t.Fatal(err)
+	}
 	text := strings.Replace(fmt.Sprintf(routerSettings, r.listService.Addr(), limits), `(listen "127.0.0.1:0")`, fmt.Sprintf("(listen %q)", address), 1)
+	settings := filepath.Join(folder, "router.edn")
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
-	cmd := exec.Command(program, "serve", "-c", settings)
-	var log bytes.Buffer
-	cmd.Stdout, cmd.Stderr = io.Discard, &log
-	if err := cmd.Start(); err != nil {
+	if process, err = routerprocess.Start(program, nil, "serve", "-c", settings); err != nil {
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(func() {
-		cmd.Process.Signal(syscall.SIGKILL)
-		cmd.Wait()
-		if r.t.Failed() {
-			r.t.Logf("log of the router:\n%.2000s", log.Bytes())
+		if log := process.Kill(); r.t.Failed() {
+			r.t.Logf("log of the router:\n%.2000s", log)
 		}
 	})
 	for range 200 {
@@ -66,18 +56,7 @@
 		}
 		time.Sleep(25 * time.Millisecond)
 	}
-	return address, func() (kib int) {
-		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
-		if err != nil {
-			r.t.Fatal(err)
-		}
-		for line := range strings.Lines(string(status)) {
-			if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-				kib, _ = strconv.Atoi(strings.Fields(value)[0])
-			}
-		}
-		return kib
-	}
+	return process, address
 }
 
 // A process was reported killed at its memory limit with hundreds of clients connected that stop in
@@ -113,7 +92,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			rig := newRig(t, 2, "")
-			address, peak := rig.startProcess(fmt.Sprintf("(memory-mb %d) (connections-per-address 5000)", processMemoryMB))
+			process, address := rig.startProcess(fmt.Sprintf("(memory-mb %d) (connections-per-address 5000)", processMemoryMB))
 			if name == "unanswered" {
 				rig.origin.Fault(testserver.Fault{Kind: testserver.Hang, For: 8000})
 			}
@@ -152,7 +131,10 @@
 				res.Body.Close()
 			}
 			clients.Wait()
-			kib := peak()
+			kib, err := process.PeakMemory()
+			if err != nil {
+				t.Fatal(err)
+			}
 			t.Logf("peak %d KiB of %d; usual requests: %d served, others %v", kib, processMemoryMB<<10, served, other)
 			if kib > processMemoryMB<<10 {
 				t.Errorf("peak of the resident memory %d KiB, want at most %d", kib, processMemoryMB<<10)
--- a/internal/proxy/limits/budget.go
+++ b/internal/proxy/limits/budget.go
@@ -28,7 +28,7 @@
 
 // maxBodyShare is the share of the total that the bodies of writes may use. It is low, since a body that
 // a member takes slowly is copied to the buffers of its connection.
-const maxBodyShare = 0.25
+const maxBodyShare = 0.20
 
 const (
 	roomDivisor    = 256      // one answer may use the free memory divided by this
--- a/internal/proxy/limits/quota.go
+++ b/internal/proxy/limits/quota.go
@@ -9,7 +9,7 @@
 	defaultMemberIdle   = 30000   // ms, if that time is unknown
 	waitingShare        = 0.3     // of the memory, for waiting bytes
 	minWaitingBytes     = 4 << 20 // however small the memory is
-	bodyShare           = 0.15    // of the memory, for the bodies of requests in flight
+	bodyShare           = 0.10    // of the memory, for the bodies of requests in flight
 	minBodyBytes        = 2 << 20 // however small the memory is
 )
 
--- a/internal/proxy/platform/memory_test.go
+++ b/internal/proxy/platform/memory_test.go
@@ -1,19 +1,12 @@
 package platform
 
 import (
-	"bytes"
-	"fmt"
-	"net"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
+	"indigospool/internal/testbed/routerprocess"
 	"indigospool/internal/testbed/testserver"
 )
 
@@ -23,37 +16,23 @@
 	manyClients        = 320  // below the third of the descriptors that clients may hold
 )
 
-// routerProcess is a router that runs as a process of its own.
-type routerProcess struct {
-	t   *testing.T
-	cmd *exec.Cmd
-}
-
-// startProcess builds the router and starts it with the harness's configuration.
-func (h *testHarness) startProcess() *routerProcess {
+// startProcess starts a router process with the harness's configuration.
+func (h *testHarness) startProcess() *routerprocess.Process {
 	h.t.Helper()
-	program := filepath.Join(h.t.TempDir(), "spool-router")
-	if out, err := exec.Command("go", "build", "-o", program, "../../../cmd/spool-router").CombinedOutput(); err != nil {
-		h.t.Fatalf("go build: %v: %s", err, out)
-	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	program, err := routerprocess.Build(h.t.TempDir())
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	h.address = free.Addr().String()
-	free.Close()
-	process := &routerProcess{t: h.t, cmd: exec.Command(program, "node", "--line", "1000")}
-	var log bytes.Buffer
-	process.cmd.Stdout, process.cmd.Stderr = &log, &log
-	process.cmd.Env = append(os.Environ(), "NODE_NAME=n1", "NODE_LISTEN="+h.address, "NODE_CONFIG="+h.configFile)
-	if err := process.cmd.Start(); err != nil {
+	if h.address, err = routerprocess.FreeAddress(); err != nil {
+		h.t.Fatal(err)
+	}
+	process, err := routerprocess.Start(program, []string{"NODE_NAME=n1", "NODE_LISTEN=" + h.address, "NODE_CONFIG=" + h.configFile}, "node", "--line", "1000")
+	if err != nil {
 		h.t.Fatal(err)
 	}
 	h.t.Cleanup(func() {
-		process.cmd.Process.Signal(syscall.SIGKILL)
-		process.cmd.Wait()
-		if h.t.Failed() {
-			h.t.Logf("log of the router:\n%.3000s", log.Bytes())
+		if log := process.Kill(); h.t.Failed() {
+			h.t.Logf("log of the router:\n%.3000s", log)
 		}
 	})
 	h.waitUntil("the program listens", func() bool {
@@ -66,21 +45,6 @@
 	return process
 }
 
-// status returns a value of the process's status file in the kernel, in KiB.
-func (p *routerProcess) status(name string) (kib int) {
-	p.t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	for line := range strings.Lines(string(text)) {
-		if value, ok := strings.CutPrefix(line, name+":"); ok {
-			kib, _ = strconv.Atoi(strings.Fields(value)[0])
-		}
-	}
-	return kib
-}
-
 // A process was reported killed at its memory limit with hundreds of clients connected that stop in
 // the middle of a large request, write slowly or send very many short fields.
 func TestMemoryOfSlowWriters(t *testing.T) {
@@ -145,7 +109,10 @@
 				time.Sleep(20 * time.Millisecond)
 			}
 			clients.Wait()
-			peak := process.status("VmHWM")
+			peak, err := process.PeakMemory()
+			if err != nil {
+				t.Fatal(err)
+			}
 			t.Logf("peak %d KiB of %d, worst time of a usual request %v", peak, processMemoryMB<<10, worst)
 			if peak > processMemoryMB<<10 {
 				t.Errorf("peak of the resident memory %d KiB, want at most %d", peak, processMemoryMB<<10)
