Cache, HTTP router: no more is read of a client that has left or was turned away

Read again: a cache connection that has ended while much of its input waits was read on to its end, and the rest of a body that found no memory stayed in the HTTP router's input buffer. Both are dropped now. The tests of floods, bodies and closed clients of both packages pass.

--- a/internal/cachenode/server/conn.go
+++ b/internal/cachenode/server/conn.go
@@ -42,7 +42,7 @@
 
 // OnReady implements eventloop.Handler.
 func (c *conn) OnReady(r eventloop.Ready) {
-	if r.Ended() && c.request != nil { // the client no longer waits for an answer, so unread data does not matter
+	if r.Ended() && (c.request != nil || len(c.readBuffer) > maxPipelinedBytes) { // the client no longer waits for answers, so unread data does not matter
 		c.close()
 		return
 	}
--- a/internal/proxy/httpfront/client.go
+++ b/internal/proxy/httpfront/client.go
@@ -205,6 +205,9 @@
 				c.rejectInvalid(err)
 				return nil
 			}
+			if c.discardInput { // there was no memory for the body
+				return nil
+			}
 			if c.current != nil && c.current.phase == receivingBody {
 				c.edge.guard.setAwaited(c, true)
 				return buf // incomplete
