Control plane: a rejected service is asked again if a heartbeat obtains the lease

Cause: a heartbeat of the second service that came after the lease had expired, but before the router's timer, obtained the lease and cleared the note to ask for its offer, as any heartbeat of the first did; it is offered again only after a minute. The rejected service is now asked at once, and another's heartbeat doesn't clear the note.

Test: TestRejectedServiceObtainsLease failed in both cases before, and passes; all tests of internal/controlplane pass.

--- a/internal/controlplane/configversion/machine.go
+++ b/internal/controlplane/configversion/machine.go
@@ -115,7 +115,7 @@
 	case Offered:
 		m.offered(event)
 	case Heartbeat:
-		m.renewLease(event.Service)
+		m.heartbeat(event.Service)
 	case Disconnected:
 		// losing the stream has no effect by itself; the service keeps its lease until it expires
 	case Stored:
@@ -142,10 +142,21 @@
 	}
 	m.leaseHolder = service
 	m.leaseRenewedAt = m.now
-	m.waitingService = ""
+	if m.waitingService == service {
+		m.waitingService = ""
+	}
 	return true
 }
 
+// heartbeat records a heartbeat from a service. If the service obtains the lease by it after an offer
+// of its was rejected, it is asked to offer its version again.
+func (m *Machine) heartbeat(service string) {
+	wasRejected := m.waitingService == service
+	if m.renewLease(service) && wasRejected {
+		m.emit(RequestOffer{service})
+	}
+}
+
 // offered checks an offered version. A rejected version changes nothing; the NACK has
 // all reasons.
 func (m *Machine) offered(event Offered) {
--- a/internal/controlplane/configversion/machine_test.go
+++ b/internal/controlplane/configversion/machine_test.go
@@ -161,6 +161,31 @@
 	}
 }
 
+// A service whose offer was rejected is asked for it again, also if it obtains the lease by a heartbeat
+// that comes before the machine's own timer, and if the lease was renewed in between. It once was not,
+// and the router stayed with the old version for a minute.
+func TestRejectedServiceObtainsLease(t *testing.T) {
+	for _, renewed := range []bool{false, true} {
+		test := newMachineTest(t).offer("a", New(1, validBody)).wantRunning(1)
+		test.offer("b", New(2, body("ss", "ssss", ""))).wantRejected("service a is in charge")
+		if renewed {
+			test.handle(Heartbeat{"a"})
+		}
+		test.now += 30_000
+		test.handle(Heartbeat{"b"})
+		if !hasAction(test, func(a RequestOffer) bool { return a.Service == "b" }) {
+			t.Errorf("renewed %v: no offer is requested from the rejected service: %+v", renewed, test.actions)
+		}
+		if test.machine.LeaseHolder() != "b" {
+			t.Errorf("renewed %v: the lease is held by %q, want b", renewed, test.machine.LeaseHolder())
+		}
+		test.handle(Heartbeat{"b"})
+		if hasAction[RequestOffer](test, nil) {
+			t.Errorf("renewed %v: the offer is requested twice", renewed)
+		}
+	}
+}
+
 // While the service is gone for minutes, the last known good version keeps running with
 // one warning, and one message reports that it is confirmed again.
 func TestWarnsOnceWhileServiceIsGone(t *testing.T) {
